--- /dev/null
+++ b/myrtleroad/__init__.py
@@ -0,0 +1,1 @@
+"""myrtleroad: a proxy that tries out new builds on live traffic."""
--- /dev/null
+++ b/myrtleroad/choice.py
@@ -0,0 +1,439 @@
+"""All decisions of myrtleroad: routing, health, further upstream tries, refusals, judging, votes.
+
+A host makes one ``Balancer(facts, seed, now)`` per front, calls ``start``, ``listed``, ``stage_news`` and
+``wake`` (each returns actions) and ``observe``, ``tally``, ``flagged``, ``probed`` (no actions) as events
+come, and runs ``serve(rq, now)``, a generator, for each req. All types: ``myrtleroad/interface.py``.
+The mechanism, its source and each exception to it are described in ``docs/design.md``.
+"""
+
+from collections import deque
+from collections.abc import Generator
+from dataclasses import dataclass, field
+from math import sqrt
+from random import Random
+
+from scipy.special import stdtr
+
+from myrtleroad import interface as i
+from myrtleroad.interface import Effect, End, Phase, Status, Verdict
+
+Sample = tuple[float, float]  # a try's score and its covariate
+Serving = Generator[i.Action, tuple[float, i.Ended | None], None]
+
+
+@dataclass(slots=True)
+class Try:
+    machine: int
+    route: int
+    sent: float
+    cost: float
+    judged: bool
+
+
+@dataclass(slots=True)
+class Machine:
+    row: i.Row
+    out: dict[tuple[int, int], Try] = field(default_factory=dict)  # emptied by each try's one ending
+    others: float = 0.0  # load reported beyond our own
+    pace: float = 1.0  # our latencies here over the usual ones of their routes
+    failing: float = 0.0  # share of recent tries that failed
+    ejected_until: float = 0.0
+    last_sent: float = -1e9
+    sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
+
+
+def trimmed(values: list[float]) -> tuple[float, list[float], int]:
+    """Trimmed mean, winsorized sample in its first order, and h, at 1% an end (the design's figure)."""
+    ordered, n = sorted(values), len(values)
+    g = int(0.01 * n)
+    low, high = ordered[g], ordered[n - g - 1]
+    mean = sum(ordered[g : n - g]) / (n - 2 * g)
+    return mean, [min(max(v, low), high) for v in values], n - 2 * g
+
+
+def cross(a: list[float], b: list[float]) -> float:
+    mean_a, mean_b = sum(a) / len(a), sum(b) / len(b)
+    return sum((x - mean_a) * (y - mean_b) for x, y in zip(a, b, strict=True))
+
+
+def yuen_cuped(trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, float]:
+    """One-sided p that the trial's mean exceeds margin times the earlier's, and both trimmed means.
+
+    Paper, section 3.3: Y and X are trimmed apart, theta is pooled (equation 17), degrees of freedom by
+    equation 13. The margin shifts the gap by (margin - 1) times the earlier trimmed mean.
+    """
+    sides = []
+    for side in (trial, earlier):
+        y_mean, y, h = trimmed([s[0] for s in side])
+        x_mean, x, _ = trimmed([s[1] for s in side])
+        scale = h * (h - 1)
+        sides.append((y_mean, x_mean, cross(y, y) / scale, cross(x, x) / scale, cross(x, y) / scale, h))
+    (y2, x2, d2, dx2, c2, h2), (y1, x1, d1, dx1, c1, h1) = sides
+    theta = (c2 + c1) / (dx2 + dx1) if dx2 + dx1 > 0 else 0.0
+    gap = (y2 - theta * x2) - (y1 - theta * x1) - (margin - 1) * y1
+    variance = sum(d + theta * theta * dx - 2 * theta * c for d, dx, c in ((d2, dx2, c2), (d1, dx1, c1)))
+    if variance <= 0 or d1 + d2 <= 0:
+        return (0.0 if gap > 0 else 1.0), y2, y1
+    freedom = (d1 + d2) ** 2 / (d1 * d1 / (h1 - 1) + d2 * d2 / (h2 - 1))
+    return float(stdtr(freedom, -gap / sqrt(variance))), y2, y1
+
+
+class Judge:
+    """The comparison of the build on trial with the earlier one, from this balancer's own tries."""
+
+    FLOOR = 20  # samples a side before a test, the design's starting value
+    MARGIN = 1.3  # the design's starting value
+    STAGE_AGE = 4000.0  # the design's starting value
+    YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
+    KEEP = 300  # samples a side: bounds the window, trims 3 an end
+
+    def __init__(self, facts: i.Facts):
+        self.alpha = 0.05 / facts.balancers
+        self.once = facts.rollout.back_votes == 1 or facts.rollout.gate == i.Gate.ANY
+        self.build = -1
+        self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
+        self.trial: deque[Sample] = deque(maxlen=self.KEEP)
+        self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
+        self.covariate = [0.0] * len(facts.routes)
+        self.tested = (-1, -1)
+        self.held_at = -1
+        self.verdict = Verdict.NONE
+
+    def offer(self, build: int) -> None:
+        """A newer build begins its trial: samples start afresh, the baseline is what came before."""
+        self.build, self.held_at, self.verdict = build, -1, Verdict.NONE
+        self.earlier.clear()
+        self.trial.clear()
+        self.covariate = [sum(p) / len(p) if len(p) >= 5 else 0.0 for p in self.pre]
+        if not all(self.covariate):
+            self.covariate = [0.0] * len(self.pre)
+
+    def take(self, build: int, route: int, score: float, on_trial: bool) -> None:
+        if on_trial and build == self.build:
+            self.trial.append((score, self.covariate[route]))
+        elif not on_trial:
+            self.pre[route].append(score)
+            self.earlier.append((score, self.covariate[route]))
+
+    def judge(self, stage: int, age: float) -> tuple[Verdict, str]:
+        """The vote for this stage; once per stage where one vote decides."""
+        if age < self.STAGE_AGE:
+            return Verdict.NONE, ""
+        if self.once and self.tested == (self.build, stage) and self.held_at != stage:
+            return self.verdict, ""
+        self.tested = (self.build, stage)
+        if min(len(self.trial), len(self.earlier)) < self.FLOOR:
+            self.verdict = Verdict.ON
+            return self.verdict, f"{len(self.trial)} and {len(self.earlier)} samples"
+        p, y2, y1 = yuen_cuped(list(self.trial), list(self.earlier), self.MARGIN)
+        text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(self.trial)}, p {p:.4f}"
+        if p < self.alpha:
+            self.verdict = Verdict.BACK
+        elif y2 > self.MARGIN * y1 and self.held_at in (-1, stage) and age < 2 * self.STAGE_AGE:
+            self.held_at, self.verdict = stage, Verdict.HOLD
+        else:
+            self.verdict = Verdict.ON
+        return self.verdict, text
+
+
+class Balancer:
+    TICK = 100.0  # ms between looks at the stage; short beside every stage age
+
+    def __init__(self, facts: i.Facts, seed: int, now: float):
+        self.facts = facts
+        self.random = Random(seed).random
+        self.machines: dict[int, Machine] = {}  # emptied by the list
+        self.judge = Judge(facts)
+        self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
+        self.news_at = now
+        self.usual = [r.objective_ms / 4 for r in facts.routes]  # latency per route, learnt
+        self.taken: list[deque[float]] = [deque() for _ in self.kinds()]  # emptied by age
+        self.trial_sent: list[deque[float]] = [deque() for _ in self.kinds()]  # emptied by age
+        self.spare_tries = 5.0  # retry budget
+        self.done_cost, self.rate, self.rate_at = 0.0, 0.0, now
+        self.vote: i.Vote | None = None
+        self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
+        self.watch_again = float("inf")
+        self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
+
+    def kinds(self) -> range:
+        return range(len(self.facts.routes) if self.facts.rollout.by_route else 1)
+
+    # --- the list and the stages ---
+
+    def start(self, now: float) -> list[i.Action]:
+        actions: list[i.Action] = [i.WakeAt(now + self.TICK)]
+        if self.facts.list_on_request:
+            actions.append(i.Watch())
+        return actions
+
+    def listed(self, event: i.Listed, now: float) -> list[i.Action]:
+        if event.kind == i.ListKind.FAILED:
+            self.watch_again = now + 500 + 1000 * self.random()
+            return []
+        if event.kind != i.ListKind.CHANGES:
+            names = {row.machine for row in event.rows}
+            for index in [x for x in self.machines if x not in names]:
+                self.machines[index].row.status = Status.GONE
+        for row in event.rows:
+            known = self.machines.get(row.machine)
+            if known is None or known.row.started != row.started or known.row.build != row.build:
+                self.machines[row.machine] = Machine(row, out=known.out if known else {})
+            else:
+                known.row = row
+        for index in [x for x, m in self.machines.items() if m.row.status == Status.GONE and not m.out]:
+            del self.machines[index]
+        return []
+
+    def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
+        if event.answers_vote and event.end != End.COMPLETED:
+            self.vote_ok = event.end == End.TIMEOUT
+            self.next_call = now + 500 + 1000 * self.random()
+            if event.end != End.MOOT:
+                return []
+        if event.answers_vote:
+            self.vote_ok = event.end == End.COMPLETED
+        if event.end not in (End.COMPLETED, End.MOOT) or event.build < self.news.build:
+            return []
+        if event.end == End.MOOT and event.build == 0:
+            return []
+        if event.build > self.judge.build and event.phase == Phase.ON_TRIAL:
+            self.judge.offer(event.build)
+        if event.phase != self.news.phase or event.build != self.news.build:
+            self.answered.clear()
+        self.news, self.news_at = event, now
+        return []
+
+    def on_trial(self, build: int) -> bool:
+        news = self.news
+        return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
+
+    def cap(self, build: int) -> tuple[float, int]:
+        """Share of reqs that may go to this build on trial, and its stage."""
+        if build > self.news.build:
+            return self.facts.rollout.caps[0], 0
+        return (self.news.cap if self.news.phase == Phase.ON_TRIAL else 0.0), self.news.stage
+
+    def exposure_room(self, rq: i.Req, build: int, now: float, aim: float) -> bool:
+        """Whether one more try at this build keeps within aim times the cap in the last span."""
+        roll = self.facts.rollout
+        cap, stage = self.cap(build)
+        if cap <= 0 or (
+            stage < roll.guarded_stages and self.facts.routes[rq.route].effect != Effect.RETRIABLE
+        ):
+            return False
+        kind = rq.route if roll.by_route else 0
+        for times in (self.taken[kind], self.trial_sent[kind]):
+            while times and times[0] <= now - roll.span_ms:
+                times.popleft()
+        return len(self.trial_sent[kind]) + 1 <= aim * (roll.free + cap * len(self.taken[kind]))
+
+    # --- votes ---
+
+    def wake(self, now: float) -> list[i.Action]:
+        actions: list[i.Action] = [i.WakeAt(now + self.TICK)]
+        if now >= self.watch_again:
+            self.watch_again = float("inf")
+            actions.append(i.Watch())
+        self.learn_rate(now)
+        news = self.news
+        if news.phase != Phase.ON_TRIAL or news.build != self.judge.build:
+            return actions
+        verdict, why = self.judge.judge(news.stage, news.age_ms + now - self.news_at)
+        if verdict == Verdict.HOLD and self.facts.rollout.gate != i.Gate.CLOCK:
+            verdict = Verdict.NONE
+        if verdict == Verdict.ON and self.facts.rollout.gate == i.Gate.CLOCK:
+            verdict = Verdict.NONE
+        if why:
+            actions.append(i.Note(f"build {news.build} stage {news.stage}: {verdict.name} ({why})"))
+        if verdict != Verdict.NONE:
+            actions += self.cast(i.Vote(news.build, verdict, news.stage), now)
+        return actions
+
+    def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
+        """Send a vote once; again when it was not taken, or before it lapses."""
+        roll = self.facts.rollout
+        standing = vote == self.vote and self.vote_ok and now - self.vote_at < 0.7 * roll.vote_life_ms
+        waiting = vote == self.vote and not self.vote_ok and now - self.vote_at < roll.answer_wait_ms
+        if standing or now < self.next_call or (waiting and self.next_call < self.vote_at):
+            return []
+        self.vote, self.vote_at, self.vote_ok = vote, now, False
+        self.next_call = now + 1000 * self.facts.balancers / roll.calls_per_s
+        return [vote]
+
+    # --- health and load ---
+
+    def learn_rate(self, now: float) -> None:
+        """Work completed per machine and ms: warm machines bear it, so it is below their capacity."""
+        if now - self.rate_at < 1000:
+            return
+        size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
+        if size > 0:
+            rate = self.done_cost / (now - self.rate_at) / size
+            self.rate = rate if self.rate == 0 else self.rate + 0.2 * (rate - self.rate)
+        self.done_cost, self.rate_at = 0.0, now
+
+    def warmth(self, m: Machine, now: float) -> float:
+        rules = self.facts.rules
+        if m.row.started <= 0:
+            return 1.0
+        age = max(0.0, now - m.row.started)
+        return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
+
+    def cold_room(self, m: Machine, cost: float, now: float) -> bool:
+        """Whether one more try leaves a cold machine standing, whatever the other fronts do alike.
+
+        Guards against pushing over: our share of multiple x present capacity x window, capacity guessed low.
+        """
+        rules = self.facts.rules
+        warmth = self.warmth(m, now)
+        while m.sent and m.sent[0][0] <= now - rules.fall_ms:
+            m.sent.popleft()
+        if warmth >= 1.0:
+            return True
+        if not m.out and now - m.last_sent > rules.fall_ms / 8:
+            return True
+        spent = sum(c for _, c in m.sent) + cost
+        return spent <= rules.overload_factor * warmth * self.rate * rules.fall_ms
+
+    def observe(self, ident: int, ended: i.Ended, now: float) -> None:
+        m = self.machines.get(ended.machine)
+        gone = m.out.pop((ident, ended.try_no), None) if m else None
+        if m is None or gone is None:
+            return
+        if ended.load is not None:
+            m.others += 0.5 * (max(0.0, ended.load - len(m.out)) - m.others)
+        route = self.facts.routes[gone.route]
+        if ended.end == End.COMPLETED:
+            self.done_cost += gone.cost
+            m.pace += 0.15 * (ended.took_ms / self.usual[gone.route] - m.pace)
+            self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
+        failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
+        if failed or ended.end == End.COMPLETED:
+            m.failing += 0.2 * (failed - m.failing)
+        if failed and m.failing > 0.45 and not self.on_trial(m.row.build):
+            m.ejected_until, m.failing = now + 2000 + 1000 * self.random(), 0.35
+        if gone.judged and ended.end in (End.COMPLETED, End.ERRORED, End.TIMEOUT, End.RESET):
+            score = ended.took_ms if ended.end == End.COMPLETED else route.timeout_ms
+            self.judge.take(m.row.build, gone.route, score, self.on_trial(m.row.build))
+
+    def tally(self, event: i.Tally, now: float) -> None:
+        pass
+
+    def flagged(self, event: i.Flagged, now: float) -> None:
+        """An answer found wrong counts like another ending: the route timeout."""
+        if m := self.machines.get(event.machine):
+            score = self.facts.routes[event.route].timeout_ms
+            self.judge.take(m.row.build, event.route, score, self.on_trial(m.row.build))
+
+    def probed(self, event: i.Probed, now: float) -> None:
+        pass
+
+    # --- routing ---
+
+    def expected(self, m: Machine, now: float) -> float:
+        """Expected completion here in units of the usual latency; a silent machine counts as slow."""
+        pace = m.pace
+        if m.out:
+            oldest = next(iter(m.out.values()))
+            pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
+        return (len(m.out) + m.others + 1) * pace * self.warm_cost(m, now) / max(m.row.weight, 0.1)
+
+    def warm_cost(self, m: Machine, now: float) -> float:
+        away = 1.15 if m.row.zone != self.facts.zone else 1.0
+        return away * (1 + m.failing) / self.warmth(m, now)
+
+    def pick(self, rq: i.Req, now: float, tried: list[Machine], ran: list[Try]) -> Machine | None:
+        """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
+        best: dict[bool, tuple[float, Machine]] = {}
+        fit = [m for m in self.machines.values() if self.may_take(m, rq, now, ran)]
+        if len(fit) > 1:
+            fit = [m for m in fit if m not in tried] or fit
+        healthy = [m for m in fit if m.ejected_until <= now]
+        for m in healthy if len(healthy) * 2 >= len(fit) else fit:
+            trial = self.on_trial(m.row.build)
+            value = self.expected(m, now) * (1 + 0.05 * self.random())
+            if trial not in best or value < best[trial][0]:
+                best[trial] = (value, m)
+        if True in best and (False not in best or self.exposure_room(rq, best[True][1].row.build, now, 0.8)):
+            return best[True][1]
+        return best[False][1] if False in best else None
+
+    def may_take(self, m: Machine, rq: i.Req, now: float, ran: list[Try]) -> bool:
+        if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
+            return False
+        if self.on_trial(m.row.build):
+            if not self.exposure_room(rq, m.row.build, now, 1.0):
+                return False
+        elif self.facts.rollout.no_return and rq.key in self.answered and rq.key is not None:
+            return False
+        route = self.facts.routes[rq.route]
+        for t in ran:
+            if route.effect == Effect.NON_RETRIABLE:
+                return False
+            if route.effect == Effect.DEDUPED:
+                first = self.machines.get(t.machine)
+                if now - ran[0].sent >= route.dedup_ms - 50:
+                    return False
+                if route.group == i.Group.ZONE and (first is None or first.row.zone != m.row.zone):
+                    return False
+                if route.group == i.Group.CELL and (first is None or first.row.cell != m.row.cell):
+                    return False
+        return True
+
+    def may_shed(self, rq: i.Req, ran: list[Try]) -> bool:
+        route = self.facts.routes[rq.route]
+        if not ran or route.effect == Effect.RETRIABLE:
+            return True
+        return route.effect == Effect.DEDUPED and route.group == i.Group.ALL
+
+    def refuse(self, rq: i.Req, ran: list[Try]) -> i.Shed | i.Fail:
+        if not self.may_shed(rq, ran):
+            return i.Fail()
+        return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
+
+    def serve(self, rq: i.Req, now: float) -> Serving:
+        """One req, from its arrival to its one final answer."""
+        route = self.facts.routes[rq.route]
+        self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
+        self.spare_tries = min(self.spare_tries + 0.1, 20.0)
+        tried: list[Machine] = []
+        ran: list[Try] = []
+        for number in range(self.facts.max_tries):
+            m = self.pick(rq, now, tried, ran)
+            if m is None or rq.ends_at - now < 1:
+                break
+            if number and not self.spend_try():
+                break
+            left = rq.ends_at - now
+            limit = left
+            if route.effect != Effect.NON_RETRIABLE and self.spare_tries >= 1:
+                limit = min(left, max(0.5 * route.objective_ms, 3 * self.usual[rq.route]))
+            t = self.sent(rq, m, number, now)
+            now, ended = yield i.Send(m.row.machine, limit)
+            tried.append(m)
+            if ended.end not in i.NEVER_RAN:
+                ran.append(t)
+            if ended.end == End.MOOT or not self.may_repeat(route, ran):
+                break
+        yield self.refuse(rq, ran)
+
+    def may_repeat(self, route: i.Route, ran: list[Try]) -> bool:
+        return not ran or route.effect != Effect.NON_RETRIABLE
+
+    def spend_try(self) -> bool:
+        """Retry budget: a tenth of the reqs, so that retries cannot make an overload worse."""
+        if self.spare_tries < 1:
+            return False
+        self.spare_tries -= 1
+        return True
+
+    def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
+        judged = m.row.started <= 0 or now - m.row.started >= Judge.YOUNG
+        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged)
+        m.out[rq.ident, number] = t
+        m.last_sent = now
+        m.sent.append((now, t.cost))
+        if self.on_trial(m.row.build):
+            self.trial_sent[rq.route if self.facts.rollout.by_route else 0].append(now)
+        return t
--- /dev/null
+++ b/myrtleroad/drill/codec.py
@@ -0,0 +1,207 @@
+"""The simulator's wire, turned into the interface's words and back. Nothing is decided here."""
+
+import json
+from typing import Any
+
+from myrtleroad import interface as i
+
+NS_PER_MS = 1_000_000
+EFFECTS = {
+    "repeatable": i.Effect.RETRIABLE,
+    "by_key": i.Effect.DEDUPED,
+    "once": i.Effect.NON_RETRIABLE,
+}
+GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
+GATES = {"first_voice": i.Gate.ANY, "by_count": i.Gate.COUNT, "automatic": i.Gate.CLOCK}
+STATUSES = {
+    "in_service": i.Status.IN_SERVICE,
+    "terminating": i.Status.DRAINING,
+    "terminated": i.Status.GONE,
+}
+LISTS = {
+    "Partial": i.ListKind.CHANGES,
+    "Complete": i.ListKind.WHOLE,
+    "Persisted": i.ListKind.REMEMBERED,
+    "Error": i.ListKind.FAILED,
+}
+
+
+class WireFault(Exception):
+    """The simulator sent something that the wire's page does not know."""
+
+
+def ms(value: int | None) -> float:
+    return (value or 0) / NS_PER_MS
+
+
+def ns(value: float) -> int:
+    return int(value * NS_PER_MS)
+
+
+def parse(line: str) -> dict[str, Any]:
+    try:
+        message = json.loads(line)
+    except ValueError:
+        raise WireFault(f"not JSON: {line[:80]!r}") from None
+    if not isinstance(message, dict) or "cmd" not in message:
+        raise WireFault(f"not a message: {line[:80]!r}")
+    return message
+
+
+def dump(message: dict[str, Any]) -> str:
+    return json.dumps(message, separators=(",", ":"))
+
+
+def facts(s: dict[str, Any]) -> i.Facts:
+    rules, roll, limits = s["obligations"], s.get("specifics", {}), s["limits"]
+    columns = s.get("report", {}).get("columns", [])
+    return i.Facts(
+        balancers=s["balancers"],
+        zone=s.get("zone", 0),
+        routes=tuple(
+            i.Route(
+                effect=EFFECTS[lane["effect"]],
+                group=GROUPS[lane.get("group", "all")],
+                dedup_ms=ms(lane.get("dedup_window")),
+                objective_ms=ms(lane["on_time"]),
+                timeout_ms=ms(lane["give_up"]),
+                benefit=lane.get("worth", 1.0),
+                late_benefit=lane.get("late_worth", 0.0),
+            )
+            for lane in s["lanes"]
+        ),
+        tenants=tuple(i.Tenant(t["share"], t["quota_per_s"]) for t in s.get("tenants") or ()),
+        over_share_benefit=s.get("over_share_worth", 1.0),
+        rules=i.Rules(
+            drain_grace_ms=ms(rules["drain_grace"]),
+            cold_ms=ms(rules["cold"]),
+            cold_share=rules["cold_share"],
+            overload_factor=rules["overload_factor"],
+            fall_ms=ms(rules["fall"]),
+            ask_every_ms=ms(rules.get("ask_every")),
+        ),
+        rollout=i.Rollout(
+            gate=GATES[roll.get("gate_mode", "by_count")],
+            on_votes=roll.get("votes_to_go", 1),
+            back_votes=roll.get("noes_needed", 1),
+            vote_life_ms=ms(roll.get("vote_life")),
+            answer_wait_ms=ms(roll.get("answer_wait")),
+            calls_per_s=roll.get("calls_per_s", 1.0),
+            soak_ms=ms(roll.get("soak")),
+            caps=tuple(roll.get("stage_cap") or (0.0,)),
+            span_ms=ms(roll.get("span")),
+            free=roll.get("free", 0.0),
+            by_route=roll.get("counts") == "each_class",
+            guarded_stages=roll.get("guarded_stages", 0),
+            no_return=bool(roll.get("no_return")),
+        ),
+        list_on_request=s.get("registry_mode") == "on_request",
+        max_tries=limits["max_attempts"],
+        second_copies=limits["second_copies"],
+        come_back=limits["retry_after"],
+        max_come_back_ms=ms(limits.get("max_retry_after")),
+        weights_mean_size=s.get("weight_kind") in ("nominal", "rough"),
+        load_column=columns.index("active") if "active" in columns else None,
+    )
+
+
+def row(e: dict[str, Any], machine: int) -> i.Row:
+    return i.Row(
+        machine=machine,
+        status=STATUSES[e.get("status", "in_service")],
+        build=int(e.get("release", 0)),
+        zone=e.get("area", 0),
+        cell=e.get("stripe", 0),
+        kind=e.get("hw", 0),
+        weight=float(e.get("nominal", 1.0)),
+        started=ms(e.get("boot_time")),
+    )
+
+
+def load(m: dict[str, Any]) -> float | None:
+    return (m.get("usage") or {}).get("active")
+
+
+def req(m: dict[str, Any], now: float) -> i.Req:
+    return i.Req(
+        ident=m["job"],
+        route=m.get("service", 0),
+        tenant=m.get("client_group"),
+        key=m.get("affinity"),
+        ends_at=now + ms(m.get("grace")),
+        cost_ms=ms(m.get("hint")),
+        repeat=bool(m.get("resent")),
+    )
+
+
+def ended(m: dict[str, Any], machine: int) -> i.Ended:
+    how, took = i.End(m["how"]), ms(m.get("cost_time"))
+    return i.Ended(machine, m.get("seq_no", 0), how, took, load(m), bool(m.get("finished")))
+
+
+def stage_news(m: dict[str, Any]) -> i.StageNews:
+    return i.StageNews(
+        end=i.End(m["how"]),
+        answers_vote=m.get("reason", 0) == 1,
+        build=m.get("build_no", 0),
+        stage=m.get("wave", 0),
+        phase=i.Phase(m.get("where_at", 0)),
+        cap=float(m.get("ceiling", 0.0)),
+        age_ms=ms(m.get("old")),
+    )
+
+
+def tally(m: dict[str, Any]) -> i.Tally:
+    return i.Tally(
+        m.get("build_no", 0),
+        m.get("service", 0),
+        m.get("n", 0),
+        m.get("errors", 0),
+        ms(m.get("cost_time")),
+        ms(m.get("old")),
+    )
+
+
+def flagged(m: dict[str, Any], machine: int) -> i.Flagged:
+    return i.Flagged(machine, m.get("service", 0), ms(m.get("old")))
+
+
+def probed(m: dict[str, Any], machine: int) -> i.Probed:
+    return i.Probed(machine, i.End(m["how"]), ms(m.get("cost_time")), load(m))
+
+
+def fault(instance: int, event: str, error: BaseException) -> dict[str, Any]:
+    text = f"instance {instance}, event {event}: {type(error).__name__}: {error}"
+    return {"cmd": "GIVE_IN", "front_id": instance, "note_text": text[:400]}
+
+
+def action(act: i.Action, machine: str | None, job: int | None, cookie: int = 0) -> dict[str, Any]:
+    """One action as the wire's object; the host fills in whose it is."""
+    match act:
+        case i.Send():
+            within = max(1, ns(act.timeout_ms))
+            return {"cmd": "ATTEMPT", "job": job, "within": within, "machine": machine}
+        case i.Cancel():
+            return {"cmd": "WITHDRAW", "job": job, "seq_no": act.try_no}
+        case i.Shed():
+            return {"cmd": "BOUNCE", "job": job, "pause": ns(act.come_back_ms)}
+        case i.Fail():
+            return {"cmd": "ERROR", "job": job}
+        case i.Vote():
+            opinion = {"build_no": act.build, "reason": int(act.verdict), "wave": act.stage}
+            return {"cmd": "OPINION", **opinion}
+        case i.Watch():
+            return {"cmd": "SUBSCRIBE", "on": act.on}
+        case i.Fetch():
+            return {"cmd": "FETCH"}
+        case i.Probe():
+            return {"cmd": "SAMPLE", "machine": machine}
+        case i.CloseIdle():
+            return {"cmd": "CLOSE", "machine": machine}
+        case i.Tell():
+            return {"cmd": "SIGNAL", "neighbour_id": act.peer, "raw": act.payload.hex()}
+        case i.WakeAt():
+            return {"cmd": "SCHEDULE", "due_at": ns(act.at), "cookie": cookie}
+        case i.Note():
+            return {"cmd": "WRITE_LOG", "note_text": act.text}
+    raise TypeError(f"no such action: {act!r}")
--- /dev/null
+++ b/myrtleroad/interface.py
@@ -0,0 +1,297 @@
+"""What the decision module is told and what it may ask for, in no protocol's words.
+
+A host builds one ``Facts``, makes one balancer from it and hands it events. Calls that are not about a
+single req return actions. A req is a generator: it yields ``Send``, ``Await`` or ``Cancel`` and ends by
+yielding ``Shed`` or ``Fail`` (or is simply not resumed once an upstream try has completed the req).
+The generator is resumed with (now, result). For ``Send`` and ``Await`` the result is the next ``Ended`` of
+that req, or None once ``patience_ms`` has passed; for ``Cancel`` it is None at once.
+All times are float milliseconds. Machines, zones, routes
+and tenants are small indices; a host may give them any meaning.
+"""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+
+class Effect(IntEnum):
+    RETRIABLE = 0
+    DEDUPED = 1
+    NON_RETRIABLE = 2
+
+
+class Group(IntEnum):
+    """Which machines drop a repeat of a deduped req."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Gate(IntEnum):
+    """How votes move a build: one vote, a number of votes, or the clock unless held."""
+
+    ANY = 0
+    COUNT = 1
+    CLOCK = 2
+
+
+class End(IntEnum):
+    """How an upstream try or a call ended."""
+
+    COMPLETED = 1
+    ERRORED = 2
+    FULL = 3
+    TIMEOUT = 4
+    NOT_CONNECTED = 5
+    RESET = 6
+    CANCELLED = 7
+    MOOT = 8
+
+
+NEVER_RAN = frozenset((End.FULL, End.NOT_CONNECTED, End.MOOT))
+
+
+class Status(IntEnum):
+    IN_SERVICE = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class Phase(IntEnum):
+    ON_TRIAL = 0
+    GOING_BACK = 1
+    RELEASED = 2
+    WITHDRAWN = 3
+
+
+class Verdict(IntEnum):
+    NONE = 0
+    ON = 1
+    HOLD = 2
+    BACK = 3
+
+
+class ListKind(IntEnum):
+    CHANGES = 0
+    WHOLE = 1
+    REMEMBERED = 2
+    FAILED = 3
+
+
+# --- facts told at the start ---
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    effect: Effect
+    group: Group
+    dedup_ms: float
+    objective_ms: float
+    timeout_ms: float
+    benefit: float
+    late_benefit: float
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    share: float
+    quota_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    drain_grace_ms: float
+    cold_ms: float
+    cold_share: float
+    overload_factor: float
+    fall_ms: float
+    ask_every_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Rollout:
+    gate: Gate
+    on_votes: int
+    back_votes: int
+    vote_life_ms: float
+    answer_wait_ms: float
+    calls_per_s: float
+    soak_ms: float
+    caps: tuple[float, ...]
+    span_ms: float
+    free: float
+    by_route: bool
+    guarded_stages: int
+    no_return: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Facts:
+    balancers: int
+    zone: int
+    routes: tuple[Route, ...]
+    tenants: tuple[Tenant, ...]
+    over_share_benefit: float
+    rules: Rules
+    rollout: Rollout
+    list_on_request: bool
+    max_tries: int
+    second_copies: bool
+    come_back: bool
+    max_come_back_ms: float
+    weights_mean_size: bool
+    load_column: int | None
+
+
+# --- events ---
+
+
+@dataclass(slots=True)
+class Row:
+    machine: int
+    status: Status
+    build: int
+    zone: int
+    cell: int
+    kind: int
+    weight: float
+    started: float
+
+
+@dataclass(slots=True)
+class Listed:
+    kind: ListKind
+    rows: list[Row] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Req:
+    ident: int
+    route: int
+    tenant: int | None
+    key: str | None
+    ends_at: float
+    cost_ms: float
+    repeat: bool
+
+
+@dataclass(slots=True)
+class Ended:
+    machine: int
+    try_no: int
+    end: End
+    took_ms: float
+    load: float | None
+    finished: bool
+
+
+@dataclass(slots=True)
+class StageNews:
+    end: End
+    answers_vote: bool
+    build: int
+    stage: int
+    phase: Phase
+    cap: float
+    age_ms: float
+
+
+@dataclass(slots=True)
+class Tally:
+    build: int
+    route: int
+    count: int
+    errors: int
+    mean_ms: float
+    age_ms: float
+
+
+@dataclass(slots=True)
+class Flagged:
+    machine: int
+    route: int
+    age_ms: float
+
+
+@dataclass(slots=True)
+class Probed:
+    machine: int
+    end: End
+    took_ms: float
+    load: float | None
+
+
+# --- actions ---
+
+
+@dataclass(slots=True)
+class Send:
+    machine: int
+    timeout_ms: float
+    patience_ms: float | None = None
+
+
+@dataclass(slots=True)
+class Await:
+    patience_ms: float | None = None
+
+
+@dataclass(slots=True)
+class Cancel:
+    try_no: int
+
+
+@dataclass(slots=True)
+class Shed:
+    come_back_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Fail:
+    pass
+
+
+@dataclass(slots=True)
+class Vote:
+    build: int
+    verdict: Verdict
+    stage: int
+
+
+@dataclass(slots=True)
+class Watch:
+    on: bool = True
+
+
+@dataclass(slots=True)
+class Fetch:
+    pass
+
+
+@dataclass(slots=True)
+class Probe:
+    machine: int
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    machine: int
+
+
+@dataclass(slots=True)
+class Tell:
+    peer: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class WakeAt:
+    at: float
+
+
+@dataclass(slots=True)
+class Note:
+    text: str
+
+
+Action = Send | Await | Cancel | Shed | Fail | Vote | Watch | Fetch | Probe | CloseIdle | Tell | WakeAt | Note
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,71 @@
+import random
+
+import pytest
+from conftest import build_facts
+from scipy.stats import ttest_ind
+
+from myrtleroad import choice
+from myrtleroad.interface import Verdict
+
+
+def test_without_covariate_it_is_yuens_test():
+    draw = random.Random(3)
+    a = [draw.lognormvariate(0.2, 1) for _ in range(230)]
+    b = [draw.lognormvariate(0.0, 1) for _ in range(310)]
+    p, y2, y1 = choice.yuen_cuped([(v, 0.0) for v in a], [(v, 0.0) for v in b], 1.0)
+    assert p == pytest.approx(ttest_ind(a, b, equal_var=False, trim=0.01, alternative="greater").pvalue)
+    assert y2 > y1
+
+
+def test_covariate_by_hand():
+    trial, earlier = [(6.0, 1.0), (6.0, 2.0), (9.0, 3.0)], [(2.0, 1.0), (2.0, 2.0), (5.0, 3.0)]
+    # h(h-1) = 6; sums of squares: y 6, x 2, xy 3; theta 3/2; variance each (6 + 2.25*2 - 3*3)/6 = 0.25
+    p, y2, y1 = choice.yuen_cuped(trial, earlier, 1.0)
+    assert (y2, y1) == (7.0, 3.0)
+    # t = 4 / sqrt(0.5) on 4 degrees of freedom: with x = t / sqrt(4 + t^2), p = 1/2 - x/2 (1 + (1 - x^2)/2)
+    assert p == pytest.approx(0.00240634, rel=1e-5)
+
+
+def test_zero_variance_decides_by_the_gap():
+    assert choice.yuen_cuped([(5.0, 0.0)] * 4, [(2.0, 0.0)] * 4, 1.3)[0] == 0.0
+    assert choice.yuen_cuped([(2.0, 0.0)] * 4, [(2.0, 0.0)] * 4, 1.3)[0] == 1.0
+
+
+@pytest.fixture
+def judge():
+    judge = choice.Judge(build_facts())
+    judge.offer(2)
+    return judge
+
+
+def fill(judge, trial, earlier):
+    for n in range(40):
+        judge.take(2, 0, trial + n % 7, True)
+        judge.take(1, 0, earlier + n % 7, False)
+
+
+def test_no_vote_before_the_stage_age(judge):
+    fill(judge, 900.0, 100.0)
+    assert judge.judge(0, 100.0)[0] == Verdict.NONE
+
+
+def test_on_with_one_side_empty(judge):
+    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.ON
+
+
+def test_back_on_a_significant_slowdown(judge):
+    fill(judge, 200.0, 100.0)
+    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.BACK
+
+
+def test_on_within_the_margin(judge):
+    fill(judge, 120.0, 100.0)
+    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.ON
+
+
+def test_past_the_margin_but_not_significant_is_held_once(judge):
+    for n in range(20):
+        judge.take(2, 0, 100.0 if n % 5 else 400.0, True)
+        judge.take(1, 0, 100.0 + n, False)
+    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.HOLD
+    assert judge.judge(0, 2 * judge.STAGE_AGE)[0] == Verdict.ON
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,89 @@
+from conftest import news, req, row
+
+from myrtleroad import choice
+from myrtleroad import interface as i
+
+
+def ended(machine, end, number=0, took=50.0):
+    return i.Ended(machine, number, end, took, None, False)
+
+
+def test_errored_non_retriable_fails_at_once(balancer):
+    gen = balancer.serve(req(route=2), 0.0)
+    send = next(gen)
+    assert gen.send((50.0, ended(send.machine, i.End.ERRORED))) == i.Fail()
+
+
+def test_non_retriable_that_never_ran_goes_again(balancer):
+    gen = balancer.serve(req(route=2), 0.0)
+    send = next(gen)
+    again = gen.send((50.0, ended(send.machine, i.End.NOT_CONNECTED)))
+    assert isinstance(again, i.Send) and again.machine != send.machine
+
+
+def test_deduped_stays_in_its_group_and_window(balancer):
+    ran = [choice.Try(0, 1, 0.0, 1.0, False)]
+    assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, ran)
+    assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, ran)
+    assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, ran)
+    assert not balancer.may_shed(req(route=1), ran)
+
+
+def test_no_try_after_the_clients_own_time(balancer):
+    gen = balancer.serve(req(ends_at=100.0), 0.0)
+    send = next(gen)
+    assert isinstance(gen.send((100.0, ended(send.machine, i.End.TIMEOUT))), i.Shed | i.Fail)
+
+
+def test_draining_machine_gets_nothing(balancer):
+    rows = [row(n, status=i.Status.DRAINING) for n in (0, 1)]
+    balancer.listed(i.Listed(i.ListKind.CHANGES, rows), 0.0)
+    assert next(balancer.serve(req(), 0.0)).machine == 2
+
+
+def test_empty_list_is_answered_at_once(balancer):
+    balancer.listed(i.Listed(i.ListKind.WHOLE, []), 0.0)
+    assert isinstance(next(balancer.serve(req(), 0.0)), i.Shed)
+
+
+def test_cold_machine_keeps_a_budget(balancer):
+    balancer.listed(i.Listed(i.ListKind.CHANGES, [row(1, started=900.0)]), 900.0)
+    cold, balancer.rate = balancer.machines[1], 0.1
+    room = 2.0 * balancer.warmth(cold, 1000.0) * 0.1 * 2000.0
+    cold.sent.append((950.0, room - 10.0))
+    cold.last_sent = 950.0
+    assert balancer.cold_room(cold, 9.0, 1000.0)
+    assert not balancer.cold_room(cold, 11.0, 1000.0)
+
+
+def test_exposure_counts_tries_in_the_span(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
+    balancer.taken[0].extend([1000.0] * 6)
+    balancer.trial_sent[0].extend([1000.0] * 3)
+    assert balancer.exposure_room(req(), 2, 1500.0, 1.0)
+    balancer.trial_sent[0].append(1400.0)
+    assert not balancer.exposure_room(req(), 2, 1500.0, 1.0)
+
+
+def test_unannounced_build_counts_as_first_stage(balancer):
+    assert balancer.cap(5) == (0.1, 0)
+
+
+def test_cap_zero_and_going_back_shut_the_build(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.GOING_BACK, cap=0.5), 0.0)
+    balancer.taken[0].extend([0.0] * 50)
+    assert not balancer.exposure_room(req(), 2, 0.0, 1.0)
+
+
+def test_vote_is_cast_once_and_renewed_before_it_lapses(balancer):
+    vote = i.Vote(2, i.Verdict.ON, 0)
+    assert balancer.cast(vote, 0.0) == [vote]
+    balancer.stage_news(news(2, 0, i.Phase.ON_TRIAL, cap=0.1, answers=True), 200.0)
+    assert balancer.cast(vote, 1000.0) == []
+    assert balancer.cast(vote, 5000.0) == [vote]
+
+
+def test_failed_watch_is_asked_again(balancer):
+    balancer.listed(i.Listed(i.ListKind.FAILED), 0.0)
+    assert not any(isinstance(a, i.Watch) for a in balancer.wake(100.0))
+    assert any(isinstance(a, i.Watch) for a in balancer.wake(1600.0))
