Bound open tries by lateness and shed the least worthy; drop early time-outs

Cause: short time-outs doubled the tries of every slow spell, and nothing bounded the queue, so one jam never ended.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -154,6 +154,11 @@
         self.vote: i.Vote | None = None
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
         self.watch_again = float("inf")
+        self.limit, self.strain = float("inf"), 0.0
+        self.density = [
+            r.benefit if facts.benefit_by_work else r.benefit / r.objective_ms for r in facts.routes
+        ]
+        self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
     def kinds(self) -> range:
@@ -236,6 +241,7 @@
             self.watch_again = float("inf")
             actions.append(i.Watch())
         self.learn_rate(now)
+        self.adapt()
         news = self.news
         if news.phase != Phase.ON_TRIAL or news.build != self.judge.build:
             return actions
@@ -308,6 +314,9 @@
             self.done_cost += gone.cost
             m.pace += 0.15 * (ended.took_ms / self.usual[gone.route] - m.pace)
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
+        if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.on_trial(m.row.build):
+            share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
+            self.strain += 0.05 * (min(share, 1.5) - self.strain)
         failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
@@ -392,10 +401,46 @@
             return i.Fail()
         return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
 
+    # --- admission ---
+
+    TARGET = 0.45  # mean time over objective that is aimed at: exponential latencies then end 9 in 10 in time
+    RESERVE = 0.7  # share of the limit that is open to the least worthy reqs
+
+    def worthy(self, rq: i.Req, now: float) -> float:
+        """Benefit per unit of work against the best route's, less where its tenant is over its share."""
+        worth = self.density[rq.route] / max(self.density)
+        if rq.tenant is not None and self.facts.tenants:
+            quota = self.facts.tenants[rq.tenant].quota_per_s / self.facts.balancers
+            used, at = self.tenant_used[rq.tenant]
+            used = max(0.0, used - (now - at) * quota / 1000) + 1
+            self.tenant_used[rq.tenant] = (min(used, 2 * quota), now)
+            if used > quota:
+                worth *= self.facts.over_share_benefit
+        return worth
+
+    def admit(self, rq: i.Req, now: float) -> bool:
+        """Guards against a queue that outlasts the objectives, whatever fills it: the least worthy go first.
+
+        Hurts where latencies are long for a reason that fewer reqs do not cure.
+        """
+        out = sum(len(m.out) for m in self.machines.values())
+        return out < self.limit * (self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now))
+
+    def adapt(self) -> None:
+        """Once a tick: fewer open tries while answers come late, more while the limit binds."""
+        out = sum(len(m.out) for m in self.machines.values())
+        if self.strain > self.TARGET:
+            self.limit = max(4.0, 0.95 * min(self.limit, max(out, 4.0)))
+        elif out > 0.6 * self.limit:
+            self.limit *= 1.03
+
     def serve(self, rq: i.Req, now: float) -> Serving:
         """One req, from its arrival to its one final answer."""
         route = self.facts.routes[rq.route]
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
+        if not self.admit(rq, now):
+            yield self.refuse(rq, [])
+            return
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)
         tried: list[Machine] = []
         ran: list[Try] = []
@@ -406,11 +451,8 @@
             if number and not self.spend_try():
                 break
             left = rq.ends_at - now
-            limit = left
-            if route.effect != Effect.NON_RETRIABLE and self.spare_tries >= 1:
-                limit = min(left, max(0.5 * route.objective_ms, 3 * self.usual[rq.route]))
             t = self.sent(rq, m, number, now)
-            now, ended = yield i.Send(m.row.machine, limit)
+            now, ended = yield i.Send(m.row.machine, left)
             tried.append(m)
             if ended.end not in i.NEVER_RAN:
                 ran.append(t)
--- a/myrtleroad/drill/codec.py
+++ b/myrtleroad/drill/codec.py
@@ -72,6 +72,7 @@
         ),
         tenants=tuple(i.Tenant(t["share"], t["quota_per_s"]) for t in s.get("tenants") or ()),
         over_share_benefit=s.get("over_share_worth", 1.0),
+        benefit_by_work=s.get("worth_by") == "work",
         rules=i.Rules(
             drain_grace_ms=ms(rules["drain_grace"]),
             cold_ms=ms(rules["cold"]),
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -132,6 +132,7 @@
     routes: tuple[Route, ...]
     tenants: tuple[Tenant, ...]
     over_share_benefit: float
+    benefit_by_work: bool
     rules: Rules
     rollout: Rollout
     list_on_request: bool
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,6 +33,7 @@
         ),
         tenants=(),
         over_share_benefit=1.0,
+        benefit_by_work=False,
         rules=i.Rules(250.0, 4000.0, 0.3, 2.0, 2000.0, 10000.0),
         rollout=i.Rollout(**roll),
         list_on_request=True,
