Bound a trial machine's load; start the stage's age with its machines

Cause: the news of a stage comes seconds before its machines, so the age ran out with no sample, and at 0.8 of the cap the few machines there took far more than their share and looked slow from load alone. Trial pushes stop at 1.5 times the mean load of the earlier machines; the age counts from the newest trial machine's start. A held stage is tested once more, at its end. Hurts where a lagging list keeps the age from starting: it then waits 8 s more.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -89,19 +89,18 @@
 
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 / facts.balancers
-        self.once = facts.rollout.back_votes == 1 or facts.rollout.gate == i.Gate.ANY
         self.build = -1
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
         self.covariate = [0.0] * len(facts.routes)
-        self.tested = (-1, -1)
+        self.tested = -1
         self.held_at = -1
         self.verdict = Verdict.NONE
 
     def offer(self, build: int) -> None:
         """A newer build begins its trial: samples start afresh, the baseline is what came before."""
-        self.build, self.held_at, self.verdict = build, -1, Verdict.NONE
+        self.build, self.tested, self.held_at, self.verdict = build, -1, -1, Verdict.NONE
         self.earlier.clear()
         self.trial.clear()
         self.covariate = [sum(p) / len(p) if len(p) >= 5 else 0.0 for p in self.pre]
@@ -119,9 +118,10 @@
         """The vote for this stage; once per stage where one vote decides."""
         if age < self.STAGE_AGE:
             return Verdict.NONE, ""
-        if self.once and self.tested == (self.build, stage) and self.held_at != stage:
+        again = self.held_at == stage and self.verdict == Verdict.HOLD and age >= 2 * self.STAGE_AGE
+        if self.tested == stage and not again:
             return self.verdict, ""
-        self.tested = (self.build, stage)
+        self.tested = stage
         if min(len(self.trial), len(self.earlier)) < self.FLOOR:
             self.verdict = Verdict.ON
             return self.verdict, f"{len(self.trial)} and {len(self.earlier)} samples"
@@ -129,7 +129,7 @@
         text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(self.trial)}, p {p:.4f}"
         if p < self.alpha:
             self.verdict = Verdict.BACK
-        elif y2 > self.MARGIN * y1 and self.held_at in (-1, stage) and age < 2 * self.STAGE_AGE:
+        elif y2 > self.MARGIN * y1 and self.held_at == -1:
             self.held_at, self.verdict = stage, Verdict.HOLD
         else:
             self.verdict = Verdict.ON
@@ -245,7 +245,7 @@
         news = self.news
         if news.phase != Phase.ON_TRIAL or news.build != self.judge.build:
             return actions
-        verdict, why = self.judge.judge(news.stage, news.age_ms + now - self.news_at)
+        verdict, why = self.judge.judge(news.stage, self.stage_age(now))
         if verdict == Verdict.HOLD and self.facts.rollout.gate != i.Gate.CLOCK:
             verdict = Verdict.NONE
         if verdict == Verdict.ON and self.facts.rollout.gate == i.Gate.CLOCK:
@@ -256,6 +256,19 @@
             actions += self.cast(i.Vote(news.build, verdict, news.stage), now)
         return actions
 
+    BOOT = 8000.0  # the platform's clock waits no longer than this for a stage's machines (bench page)
+
+    def stage_age(self, now: float) -> float:
+        """Time the stage has run with machines of its own: it says little while they only start.
+
+        A stage that names no new machine (it needs none, or the list lags) is taken to run after BOOT.
+        """
+        told = self.news.age_ms + now - self.news_at
+        starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
+        if starts and max(starts) > now - told:
+            return now - max(starts)
+        return told - self.BOOT
+
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
         """Send a vote once; again when it was not taken, or before it lapses."""
         roll = self.facts.rollout
@@ -364,9 +377,18 @@
             value = self.expected(m, now) * (1 + 0.05 * self.random())
             if trial not in best or value < best[trial][0]:
                 best[trial] = (value, m)
-        if True in best and (False not in best or self.exposure_room(rq, best[True][1].row.build, now, 0.8)):
-            return best[True][1]
-        return best[False][1] if False in best else None
+        if False not in best:
+            return best[True][1] if True in best else None
+        if True in best and self.exposure_room(rq, best[True][1].row.build, now, 0.8):
+            loads = [self.load(m, now) for m in healthy if not self.on_trial(m.row.build)]
+            if not loads or self.load(best[True][1], now) <= self.PUSH * sum(loads) / len(loads):
+                return best[True][1]
+        return best[False][1]
+
+    PUSH = 1.5  # most load on a trial machine over the mean earlier one; tried 1.2 to 2, see docs/design.md
+
+    def load(self, m: Machine, now: float) -> float:
+        return (len(m.out) + m.others + 1) / self.warmth(m, now) / max(m.row.weight, 0.1)
 
     def may_take(self, m: Machine, rq: i.Req, now: float, ran: list[Try]) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
