Earn trial tries evenly, at most a little over the machines' own part

Cause: a fresh trial machine met a whole span's allowance at once and looked slow from load alone. Each req taken now earns min(0.8 cap, 1.1 x the trial machines' part of the fleet) of a try. Also: the open limit never falls under one try a machine.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -154,6 +154,7 @@
         self.vote: i.Vote | None = None
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
         self.watch_again = float("inf")
+        self.credit = 0.0  # upstream tries that the build on trial may be given now
         self.limit, self.strain = float("inf"), 0.0
         self.density = [
             r.benefit if facts.benefit_by_work else r.benefit / r.objective_ms for r in facts.routes
@@ -219,8 +220,8 @@
             return self.facts.rollout.caps[0], 0
         return (self.news.cap if self.news.phase == Phase.ON_TRIAL else 0.0), self.news.stage
 
-    def exposure_room(self, rq: i.Req, build: int, now: float, aim: float) -> bool:
-        """Whether one more try at this build keeps within aim times the cap in the last span."""
+    def exposure_room(self, rq: i.Req, build: int, now: float) -> bool:
+        """Whether one more try at this build keeps within the cap in the last span."""
         roll = self.facts.rollout
         cap, stage = self.cap(build)
         if cap <= 0 or (
@@ -231,7 +232,7 @@
         for times in (self.taken[kind], self.trial_sent[kind]):
             while times and times[0] <= now - roll.span_ms:
                 times.popleft()
-        return len(self.trial_sent[kind]) + 1 <= aim * (roll.free + cap * len(self.taken[kind]))
+        return len(self.trial_sent[kind]) + 1 <= roll.free + cap * len(self.taken[kind])
 
     # --- votes ---
 
@@ -329,7 +330,7 @@
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
         if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.on_trial(m.row.build):
             share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
-            self.strain += 0.05 * (min(share, 1.5) - self.strain)
+            self.strain += 0.08 * (min(share, 1.5) - self.strain)
         failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
@@ -379,22 +380,33 @@
                 best[trial] = (value, m)
         if False not in best:
             return best[True][1] if True in best else None
-        if True in best and self.exposure_room(rq, best[True][1].row.build, now, 0.8):
-            loads = [self.load(m, now) for m in healthy if not self.on_trial(m.row.build)]
-            if not loads or self.load(best[True][1], now) <= self.PUSH * sum(loads) / len(loads):
-                return best[True][1]
+        if True in best and self.credit >= 1:
+            return best[True][1]
         return best[False][1]
 
-    PUSH = 1.5  # most load on a trial machine over the mean earlier one; tried 1.2 to 2, see docs/design.md
+    PUSH = 1.1  # trial machines' part of the tries over their part of the fleet: a little over fair
 
-    def load(self, m: Machine, now: float) -> float:
-        return (len(m.out) + m.others + 1) / self.warmth(m, now) / max(m.row.weight, 0.1)
+    def earn(self, now: float) -> None:
+        """Each req taken earns its part of a try on the trial build: 0.8 of the cap, evenly in time.
+
+        Guards a good build against looking slow from load alone, as when its machines lag the cap: where 0.8
+        of the cap is over the trial machines' own part of the fleet, that part times PUSH is earned instead.
+        """
+        size, cap = {True: 0.0, False: 0.0}, 0.0
+        for m in self.machines.values():
+            if m.row.status == Status.IN_SERVICE:
+                trial = self.on_trial(m.row.build)
+                size[trial] += max(m.row.weight, 0.1) * self.warmth(m, now)
+                cap = self.cap(m.row.build)[0] if trial else cap
+        if size[True] > 0:
+            part = min(0.8 * cap, self.PUSH * size[True] / (size[True] + size[False]))
+            self.credit = min(2.0, self.credit + part)
 
     def may_take(self, m: Machine, rq: i.Req, now: float, ran: list[Try]) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
             return False
         if self.on_trial(m.row.build):
-            if not self.exposure_room(rq, m.row.build, now, 1.0):
+            if not self.exposure_room(rq, m.row.build, now):
                 return False
         elif self.facts.rollout.no_return and rq.key in self.answered and rq.key is not None:
             return False
@@ -452,14 +464,15 @@
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         out = sum(len(m.out) for m in self.machines.values())
         if self.strain > self.TARGET:
-            self.limit = max(4.0, 0.95 * min(self.limit, max(out, 4.0)))
+            self.limit = max(float(len(self.machines)), 0.95 * min(self.limit, out))
         elif out > 0.6 * self.limit:
-            self.limit *= 1.03
+            self.limit *= 1.05
 
     def serve(self, rq: i.Req, now: float) -> Serving:
         """One req, from its arrival to its one final answer."""
         route = self.facts.routes[rq.route]
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
+        self.earn(now)
         if not self.admit(rq, now):
             yield self.refuse(rq, [])
             return
@@ -500,4 +513,5 @@
         m.sent.append((now, t.cost))
         if self.on_trial(m.row.build):
             self.trial_sent[rq.route if self.facts.rollout.by_route else 0].append(now)
+            self.credit = max(0.0, self.credit - 1)
         return t
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,9 +60,9 @@
     balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
     balancer.taken[0].extend([1000.0] * 6)
     balancer.trial_sent[0].extend([1000.0] * 3)
-    assert balancer.exposure_room(req(), 2, 1500.0, 1.0)
+    assert balancer.exposure_room(req(), 2, 1500.0)
     balancer.trial_sent[0].append(1400.0)
-    assert not balancer.exposure_room(req(), 2, 1500.0, 1.0)
+    assert not balancer.exposure_room(req(), 2, 1500.0)
 
 
 def test_unannounced_build_counts_as_first_stage(balancer):
@@ -72,7 +72,7 @@
 def test_cap_zero_and_going_back_shut_the_build(balancer):
     balancer.stage_news(news(2, 1, i.Phase.GOING_BACK, cap=0.5), 0.0)
     balancer.taken[0].extend([0.0] * 50)
-    assert not balancer.exposure_room(req(), 2, 0.0, 1.0)
+    assert not balancer.exposure_room(req(), 2, 0.0)
 
 
 def test_vote_is_cast_once_and_renewed_before_it_lapses(balancer):
