Judge machines only once warm, with a margin of 1.5

The 3 s become the told warm-up where that is longer. Hurts a build that is 1.3 to 1.5 times slower: it is let on.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -82,7 +82,7 @@
     """The comparison of the build on trial with the earlier one, from this balancer's own tries."""
 
     FLOOR = 20  # samples a side before a test, the design's starting value
-    MARGIN = 1.3  # the design's starting value
+    MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
     STAGE_AGE = 4000.0  # the design's starting value
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
     KEEP = 300  # samples a side: bounds the window, trims 3 an end
@@ -506,7 +506,9 @@
         return True
 
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
-        judged = m.row.started <= 0 or now - m.row.started >= Judge.YOUNG
+        # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
+        young = max(Judge.YOUNG, self.facts.rules.cold_ms)
+        judged = m.row.started <= 0 or now - m.row.started >= young
         t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged)
         m.out[rq.ident, number] = t
         m.last_sent = now
