Learn pace apart from the queue, let stale sight fade, count trial tries apart

Should also hold against any machine that stops answering. Could hurt where a machine is slow for good and little used: its pace is forgotten in about ten seconds.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -28,6 +28,7 @@
     sent: float
     cost: float
     judged: bool
+    queue: float  # tries ahead on the machine when it was sent, against the usual
 
 
 @dataclass(slots=True)
@@ -155,6 +156,7 @@
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
         self.watch_again = float("inf")
         self.credit = 0.0  # upstream tries that the build on trial may be given now
+        self.usual_queue = 0.0
         self.limit, self.strain = float("inf"), 0.0
         self.density = [
             r.benefit if facts.benefit_by_work else r.benefit / r.objective_ms for r in facts.routes
@@ -326,7 +328,8 @@
         route = self.facts.routes[gone.route]
         if ended.end == End.COMPLETED:
             self.done_cost += gone.cost
-            m.pace += 0.15 * (ended.took_ms / self.usual[gone.route] - m.pace)
+            seen = ended.took_ms / self.usual[gone.route] / gone.queue
+            m.pace += 0.1 * (min(seen, 8.0) - m.pace)
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
         if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.on_trial(m.row.build):
             share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
@@ -381,7 +384,9 @@
         if False not in best:
             return best[True][1] if True in best else None
         if True in best and self.credit >= 1:
-            return best[True][1]
+            usual = [len(m.out) for m in healthy if not self.on_trial(m.row.build)]
+            if not usual or len(best[True][1].out) <= 2 + 3 * sum(usual) / len(usual):
+                return best[True][1]
         return best[False][1]
 
     PUSH = 1.1  # trial machines' part of the tries over their part of the fleet: a little over fair
@@ -457,12 +462,21 @@
 
         Hurts where latencies are long for a reason that fewer reqs do not cure.
         """
-        out = sum(len(m.out) for m in self.machines.values())
-        return out < self.limit * (self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now))
+        return self.open_tries() < self.limit * (self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now))
+
+    def open_tries(self) -> int:
+        """Tries out on builds not on trial: a trial machine that hangs must not close the door."""
+        return sum(len(m.out) for m in self.machines.values() if not self.on_trial(m.row.build))
 
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
-        out = sum(len(m.out) for m in self.machines.values())
+        out = self.open_tries()
+        self.strain *= 0.98  # a jam without answers must not hold the limit down for good
+        for (
+            m
+        ) in self.machines.values():  # what is no longer seen fades, so that a shunned machine is tried again
+            m.others *= 0.93
+            m.pace += 0.01 * (1 - m.pace)
         if self.strain > self.TARGET:
             self.limit = max(float(len(self.machines)), 0.95 * min(self.limit, out))
         elif out > 0.6 * self.limit:
@@ -509,7 +523,10 @@
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
         young = max(Judge.YOUNG, self.facts.rules.cold_ms)
         judged = m.row.started <= 0 or now - m.row.started >= young
-        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged)
+        queue = len(m.out) + m.others
+        self.usual_queue += 0.02 * (queue - self.usual_queue)
+        ahead = (queue + 2) / (self.usual_queue + 2)
+        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, ahead)
         m.out[rq.ident, number] = t
         m.last_sent = now
         m.sent.append((now, t.cost))
