Stage age follows the told soak instead of a fixed 4 s

Cause: where stages may move after 1 or 1.5 s, waiting 4 s each held good builds back for the price of the earlier one. Hurts where a bad build needs longer to show than its stages last.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -84,12 +84,13 @@
 
     FLOOR = 20  # samples a side before a test, the design's starting value
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
-    STAGE_AGE = 4000.0  # the design's starting value
+    SETTLE = 1000.0  # past the soak: about when the platform's own clock for a stage starts (bench page)
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
     KEEP = 300  # samples a side: bounds the window, trims 3 an end
 
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 / facts.balancers
+        self.stage_age = facts.rollout.soak_ms + self.SETTLE
         self.build = -1
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
@@ -117,9 +118,9 @@
 
     def judge(self, stage: int, age: float) -> tuple[Verdict, str]:
         """The vote for this stage; once per stage where one vote decides."""
-        if age < self.STAGE_AGE:
+        if age < self.stage_age:
             return Verdict.NONE, ""
-        again = self.held_at == stage and self.verdict == Verdict.HOLD and age >= 2 * self.STAGE_AGE
+        again = self.held_at == stage and self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
         if self.tested == stage and not again:
             return self.verdict, ""
         self.tested = stage
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -50,22 +50,22 @@
 
 
 def test_on_with_one_side_empty(judge):
-    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
 
 
 def test_back_on_a_significant_slowdown(judge):
     fill(judge, 200.0, 100.0)
-    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.BACK
+    assert judge.judge(0, judge.stage_age)[0] == Verdict.BACK
 
 
 def test_on_within_the_margin(judge):
     fill(judge, 120.0, 100.0)
-    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
 
 
 def test_past_the_margin_but_not_significant_is_held_once(judge):
     for n in range(20):
         judge.take(2, 0, 100.0 if n % 5 else 550.0, True)
         judge.take(1, 0, 100.0 + n, False)
-    assert judge.judge(0, judge.STAGE_AGE)[0] == Verdict.HOLD
-    assert judge.judge(0, 2 * judge.STAGE_AGE)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age)[0] == Verdict.HOLD
+    assert judge.judge(0, 2 * judge.stage_age)[0] == Verdict.ON
