Cut the open limit with the excess, count a trial that is the fleet, rest full machines

The limit should hold against any rise of traffic or loss of capacity; it may refuse too much where answers are late for a reason that load does not cause.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -157,7 +157,7 @@
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
         self.watch_again = float("inf")
         self.credit = 0.0  # upstream tries that the build on trial may be given now
-        self.usual_queue = 0.0
+        self.usual_queue, self.few_on_trial = 0.0, True
         self.limit, self.strain = float("inf"), 0.0
         self.density = [
             r.benefit if facts.benefit_by_work else r.benefit / r.objective_ms for r in facts.routes
@@ -332,9 +332,13 @@
             seen = ended.took_ms / self.usual[gone.route] / gone.queue
             m.pace += 0.1 * (min(seen, 8.0) - m.pace)
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
-        if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.on_trial(m.row.build):
+        if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.apart(m):
             share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
             self.strain += 0.08 * (min(share, 1.5) - self.strain)
+        if (
+            ended.end == End.FULL
+        ):  # answers at once and so looks idle: leave it until a few tries have drained
+            m.ejected_until = max(m.ejected_until, now + self.usual[gone.route])
         failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
@@ -467,10 +471,16 @@
 
     def open_tries(self) -> int:
         """Tries out on builds not on trial: a trial machine that hangs must not close the door."""
-        return sum(len(m.out) for m in self.machines.values() if not self.on_trial(m.row.build))
+        return sum(len(m.out) for m in self.machines.values() if not self.apart(m))
+
+    def apart(self, m: Machine) -> bool:
+        """Whether a machine is on trial beside a fleet that is not, so that its lateness is its own."""
+        return self.few_on_trial and self.on_trial(m.row.build)
 
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
+        trial = sum(self.on_trial(m.row.build) for m in self.machines.values())
+        self.few_on_trial = 2 * trial < len(self.machines)
         out = self.open_tries()
         self.strain *= 0.98  # a jam without answers must not hold the limit down for good
         for (
@@ -479,9 +489,10 @@
             m.others *= 0.93
             m.pace += 0.01 * (1 - m.pace)
         if self.strain > self.TARGET:
-            self.limit = max(float(len(self.machines)), 0.95 * min(self.limit, out))
+            excess = min(1.0, self.strain / self.TARGET - 1)
+            self.limit = max(float(len(self.machines)), (1 - 0.15 * excess) * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
-            self.limit *= 1.05
+            self.limit *= 1.03
 
     def serve(self, rq: i.Req, now: float) -> Serving:
         """One req, from its arrival to its one final answer."""
