--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -28,6 +28,7 @@
     sent: float
     cost: float
     judged: bool
+    key: str | None
     queue: float  # tries ahead on the machine when it was sent, against the usual
 
 
@@ -159,9 +160,8 @@
         self.credit = 0.0  # upstream tries that the build on trial may be given now
         self.usual_queue, self.few_on_trial = 0.0, True
         self.limit, self.strain = float("inf"), 0.0
-        self.density = [
-            r.benefit if facts.benefit_by_work else r.benefit / r.objective_ms for r in facts.routes
-        ]
+        by_work = facts.benefit_by_work
+        self.density = [r.benefit / (1 if by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
@@ -195,20 +195,16 @@
         return []
 
     def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
-        if event.answers_vote and event.end != End.COMPLETED:
-            self.vote_ok = event.end == End.TIMEOUT
-            self.next_call = now + 500 + 1000 * self.random()
-            if event.end != End.MOOT:
-                return []
         if event.answers_vote:
-            self.vote_ok = event.end == End.COMPLETED
-        if event.end not in (End.COMPLETED, End.MOOT) or event.build < self.news.build:
+            self.vote_ok = event.end in (End.COMPLETED, End.TIMEOUT)  # a timeout may count
+        if event.end != End.COMPLETED:
+            self.next_call = now + 500 + 1000 * self.random()
             return []
-        if event.end == End.MOOT and event.build == 0:
+        if event.build < self.news.build:
             return []
         if event.build > self.judge.build and event.phase == Phase.ON_TRIAL:
             self.judge.offer(event.build)
-        if event.phase != self.news.phase or event.build != self.news.build:
+        if event.build != self.news.build or event.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.answered.clear()
         self.news, self.news_at = event, now
         return []
@@ -227,9 +223,8 @@
         """Whether one more try at this build keeps within the cap in the last span."""
         roll = self.facts.rollout
         cap, stage = self.cap(build)
-        if cap <= 0 or (
-            stage < roll.guarded_stages and self.facts.routes[rq.route].effect != Effect.RETRIABLE
-        ):
+        retriable = self.facts.routes[rq.route].effect == Effect.RETRIABLE
+        if cap <= 0 or (stage < roll.guarded_stages and not retriable):
             return False
         kind = rq.route if roll.by_route else 0
         for times in (self.taken[kind], self.trial_sent[kind]):
@@ -250,13 +245,16 @@
         if news.phase != Phase.ON_TRIAL or news.build != self.judge.build:
             return actions
         verdict, why = self.judge.judge(news.stage, self.stage_age(now))
-        if verdict == Verdict.HOLD and self.facts.rollout.gate != i.Gate.CLOCK:
-            verdict = Verdict.NONE
-        if verdict == Verdict.ON and self.facts.rollout.gate == i.Gate.CLOCK:
-            verdict = Verdict.NONE
         if why:
             actions.append(i.Note(f"build {news.build} stage {news.stage}: {verdict.name} ({why})"))
-        if verdict != Verdict.NONE:
+        clock = (
+            self.facts.rollout.gate == i.Gate.CLOCK
+        )  # there only hold and back exist, else only on and back
+        if (
+            verdict == Verdict.BACK
+            or (verdict == Verdict.HOLD and clock)
+            or (verdict == Verdict.ON and not clock)
+        ):
             actions += self.cast(i.Vote(news.build, verdict, news.stage), now)
         return actions
 
@@ -329,15 +327,15 @@
         route = self.facts.routes[gone.route]
         if ended.end == End.COMPLETED:
             self.done_cost += gone.cost
+            if gone.key and self.facts.rollout.no_return and self.on_trial(m.row.build):
+                self.answered.add(gone.key)
             seen = ended.took_ms / self.usual[gone.route] / gone.queue
             m.pace += 0.1 * (min(seen, 8.0) - m.pace)
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
         if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.apart(m):
             share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
             self.strain += 0.08 * (min(share, 1.5) - self.strain)
-        if (
-            ended.end == End.FULL
-        ):  # answers at once and so looks idle: leave it until a few tries have drained
+        if ended.end == End.FULL:  # it answers at once and so looks idle: let a few tries drain
             m.ejected_until = max(m.ejected_until, now + self.usual[gone.route])
         failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
@@ -348,18 +346,12 @@
             score = ended.took_ms if ended.end == End.COMPLETED else route.timeout_ms
             self.judge.take(m.row.build, gone.route, score, self.on_trial(m.row.build))
 
-    def tally(self, event: i.Tally, now: float) -> None:
-        pass
-
     def flagged(self, event: i.Flagged, now: float) -> None:
         """An answer found wrong counts like another ending: the route timeout."""
         if m := self.machines.get(event.machine):
             score = self.facts.routes[event.route].timeout_ms
             self.judge.take(m.row.build, event.route, score, self.on_trial(m.row.build))
 
-    def probed(self, event: i.Probed, now: float) -> None:
-        pass
-
     # --- routing ---
 
     def expected(self, m: Machine, now: float) -> float:
@@ -370,8 +362,10 @@
             pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
         return (len(m.out) + m.others + 1) * pace * self.warm_cost(m, now) / max(m.row.weight, 0.1)
 
+    AWAY = 1.15  # another zone's machine: taken when a sixth better, as crossing is priced
+
     def warm_cost(self, m: Machine, now: float) -> float:
-        away = 1.15 if m.row.zone != self.facts.zone else 1.0
+        away = self.AWAY if m.row.zone != self.facts.zone else 1.0
         return away * (1 + m.failing) / self.warmth(m, now)
 
     def pick(self, rq: i.Req, now: float, tried: list[Machine], ran: list[Try]) -> Machine | None:
@@ -418,21 +412,18 @@
         if self.on_trial(m.row.build):
             if not self.exposure_room(rq, m.row.build, now):
                 return False
-        elif self.facts.rollout.no_return and rq.key in self.answered and rq.key is not None:
+        elif m.row.build < self.news.build and rq.key in self.answered:
             return False
         route = self.facts.routes[rq.route]
-        for t in ran:
-            if route.effect == Effect.NON_RETRIABLE:
-                return False
-            if route.effect == Effect.DEDUPED:
-                first = self.machines.get(t.machine)
-                if now - ran[0].sent >= route.dedup_ms - 50:
-                    return False
-                if route.group == i.Group.ZONE and (first is None or first.row.zone != m.row.zone):
-                    return False
-                if route.group == i.Group.CELL and (first is None or first.row.cell != m.row.cell):
-                    return False
-        return True
+        if not ran or route.effect == Effect.RETRIABLE:
+            return True
+        if route.effect == Effect.NON_RETRIABLE or now - ran[0].sent >= route.dedup_ms - self.TICK:
+            return False
+        first = self.machines.get(ran[0].machine)
+        if route.group == i.Group.ALL or first is None:
+            return route.group == i.Group.ALL
+        zone, cell = first.row.zone == m.row.zone, first.row.cell == m.row.cell
+        return zone if route.group == i.Group.ZONE else cell
 
     def may_shed(self, rq: i.Req, ran: list[Try]) -> bool:
         route = self.facts.routes[rq.route]
@@ -483,9 +474,7 @@
         self.few_on_trial = 2 * trial < len(self.machines)
         out = self.open_tries()
         self.strain *= 0.98  # a jam without answers must not hold the limit down for good
-        for (
-            m
-        ) in self.machines.values():  # what is no longer seen fades, so that a shunned machine is tried again
+        for m in self.machines.values():  # what is not seen fades, so that a shunned machine is tried again
             m.others *= 0.93
             m.pace += 0.01 * (1 - m.pace)
         if self.strain > self.TARGET:
@@ -496,41 +485,28 @@
 
     def serve(self, rq: i.Req, now: float) -> Serving:
         """One req, from its arrival to its one final answer."""
-        route = self.facts.routes[rq.route]
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         self.earn(now)
         if not self.admit(rq, now):
             yield self.refuse(rq, [])
             return
-        self.spare_tries = min(self.spare_tries + 0.1, 20.0)
+        self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
         tried: list[Machine] = []
         ran: list[Try] = []
         for number in range(self.facts.max_tries):
             m = self.pick(rq, now, tried, ran)
-            if m is None or rq.ends_at - now < 1:
+            if m is None or rq.ends_at - now < 1 or (number and self.spare_tries < 1):
                 break
-            if number and not self.spend_try():
-                break
-            left = rq.ends_at - now
+            self.spare_tries -= number > 0
             t = self.sent(rq, m, number, now)
-            now, ended = yield i.Send(m.row.machine, left)
+            now, ended = yield i.Send(m.row.machine, rq.ends_at - now)
             tried.append(m)
             if ended.end not in i.NEVER_RAN:
                 ran.append(t)
-            if ended.end == End.MOOT or not self.may_repeat(route, ran):
+            if ended.end == End.MOOT:
                 break
         yield self.refuse(rq, ran)
 
-    def may_repeat(self, route: i.Route, ran: list[Try]) -> bool:
-        return not ran or route.effect != Effect.NON_RETRIABLE
-
-    def spend_try(self) -> bool:
-        """Retry budget: a tenth of the reqs, so that retries cannot make an overload worse."""
-        if self.spare_tries < 1:
-            return False
-        self.spare_tries -= 1
-        return True
-
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
         young = max(Judge.YOUNG, self.facts.rules.cold_ms)
@@ -538,7 +514,7 @@
         queue = len(m.out) + m.others
         self.usual_queue += 0.02 * (queue - self.usual_queue)
         ahead = (queue + 2) / (self.usual_queue + 2)
-        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, ahead)
+        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, rq.key, ahead)
         m.out[rq.ident, number] = t
         m.last_sent = now
         m.sent.append((now, t.cost))
--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -72,14 +72,10 @@
                 self.act(b.listed(i.Listed(kind, rows), now))
             case "SHIP_STATE":
                 self.act(b.stage_news(codec.stage_news(m), now))
-            case "SCORECARD":
-                b.tally(codec.tally(m), now)
             case "BAD_ANSWER":
                 b.flagged(codec.flagged(m, self.machine(m["machine"])), now)
-            case "PROBED":
-                b.probed(codec.probed(m, self.machine(m["machine"])), now)
-            case "DATAGRAM":
-                pass  # fronts share nothing
+            case "SCORECARD" | "PROBED" | "DATAGRAM":
+                pass  # the module decides by its own tries alone: it takes no counts, probes or messages
             case _:
                 raise codec.WireFault(f"unknown event {cmd!r}")
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,7 @@
 
 
 def test_deduped_stays_in_its_group_and_window(balancer):
-    ran = [choice.Try(0, 1, 0.0, 1.0, False, 1.0)]
+    ran = [choice.Try(0, 1, 0.0, 1.0, False, None, 1.0)]
     assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, ran)
     assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, ran)
     assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, ran)
@@ -93,7 +93,7 @@
     balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
     balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
     for n in range(9):
-        balancer.machines[3].out[n, 0] = choice.Try(3, 0, 0.0, 1.0, False, 1.0)
+        balancer.machines[3].out[n, 0] = choice.Try(3, 0, 0.0, 1.0, False, None, 1.0)
     balancer.limit = 4.0
     assert balancer.admit(req(), 0.0)
 
@@ -104,3 +104,20 @@
     for _ in range(100):
         balancer.adapt()
     assert shunned.others < 0.1 and shunned.pace < 2.0
+
+
+def test_a_key_answered_by_the_trial_build_goes_to_no_earlier_one(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
+    balancer.answered.add("k")
+    assert not balancer.may_take(balancer.machines[0], req(key="k"), 0.0, [])
+    balancer.stage_news(news(2, 1, i.Phase.RELEASED), 0.0)
+    assert not balancer.may_take(balancer.machines[0], req(key="k"), 0.0, [])
+    balancer.stage_news(news(2, 1, i.Phase.GOING_BACK), 0.0)
+    assert balancer.may_take(balancer.machines[0], req(key="k"), 0.0, [])
+
+
+def test_a_full_machine_rests(balancer):
+    gen = balancer.serve(req(), 0.0)
+    send = next(gen)
+    balancer.observe(1, ended(send.machine, i.End.FULL), 5.0)
+    assert balancer.machines[send.machine].ejected_until > 5.0
