Hold back tries from a trial machine that already bears more than its peers

Now both bounds stand, the second counting the other fronts as alike. Also: a build seen on the list is judged before its news.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -185,6 +185,8 @@
             for index in [x for x in self.machines if x not in names]:
                 self.machines[index].row.status = Status.GONE
         for row in event.rows:
+            if row.build > max(self.judge.build, self.news.build) and self.news.build > 0:
+                self.judge.offer(row.build)  # the list may be quicker than the news
             known = self.machines.get(row.machine)
             if known is None or known.row.started != row.started or known.row.build != row.build:
                 self.machines[row.machine] = Machine(row, out=known.out if known else {})
@@ -383,28 +385,28 @@
         if False not in best:
             return best[True][1] if True in best else None
         if True in best and self.credit >= 1:
-            usual = [len(m.out) for m in healthy if not self.on_trial(m.row.build)]
-            if not usual or len(best[True][1].out) <= 2 + 3 * sum(usual) / len(usual):
-                return best[True][1]
+            cand, usual = best[True][1], [len(m.out) for m in fit if not self.on_trial(m.row.build)]
+            fronts = self.facts.balancers  # they are taken to send alike
+            peers = 1 + fronts * sum(usual) / len(usual)
+            if 1 + fronts * len(cand.out) <= 1 + self.PUSH * self.warmth(cand, now) * peers:
+                return cand
         return best[False][1]
 
-    PUSH = 1.1  # trial machines' part of the tries over their part of the fleet: a little over fair
+    # Exceptions to 0.8 of the cap, against a good build that looks slow from load alone. Both act where the
+    # cap is ahead of the trial machines, as while they start, or the second where all machines overflow.
+    PART = 1.1  # trial machines' part of the tries over their part of the fleet: a little over fair
+    PUSH = 1.3  # tries on a trial machine over its peers': under the margin
 
     def earn(self, now: float) -> None:
-        """Each req taken earns its part of a try on the trial build: 0.8 of the cap, evenly in time.
-
-        Guards a good build against looking slow from load alone, as when its machines lag the cap: where 0.8
-        of the cap is over the trial machines' own part of the fleet, that part times PUSH is earned instead.
-        """
-        size, cap = {True: 0.0, False: 0.0}, 0.0
+        """Each req taken earns its part of a try on the trial build, evenly in time."""
+        size, cap = {True: 0.0, False: 1e-9}, 0.0
         for m in self.machines.values():
             if m.row.status == Status.IN_SERVICE:
                 trial = self.on_trial(m.row.build)
                 size[trial] += max(m.row.weight, 0.1) * self.warmth(m, now)
                 cap = self.cap(m.row.build)[0] if trial else cap
-        if size[True] > 0:
-            part = min(0.8 * cap, self.PUSH * size[True] / (size[True] + size[False]))
-            self.credit = min(2.0, self.credit + part)
+        part = min(0.8 * cap, self.PART * size[True] / (size[True] + size[False]))
+        self.credit = min(2.0, self.credit + part) if part else 0.0
 
     def may_take(self, m: Machine, rq: i.Req, now: float, ran: list[Try]) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -121,3 +121,19 @@
     send = next(gen)
     balancer.observe(1, ended(send.machine, i.End.FULL), 5.0)
     assert balancer.machines[send.machine].ejected_until > 5.0
+
+
+def test_a_laden_trial_machine_waits(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.9), 0.0)
+    balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
+    balancer.taken[0].extend([0.0] * 50)
+    balancer.credit = 2.0
+    assert balancer.pick(req(), 0.0, [], []).row.machine == 3
+    for n in range(3):
+        balancer.machines[3].out[n, 0] = choice.Try(3, 0, 0.0, 1.0, False, None, 1.0)
+    assert balancer.pick(req(), 0.0, [], []).row.machine != 3
+
+
+def test_a_listed_build_is_judged_before_its_news(balancer):
+    balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
+    assert balancer.judge.build == 2
