--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -17,7 +17,7 @@
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 
-Sample = tuple[float, float]  # a try's score and its covariate
+Sample = tuple[float, float, float]  # a try's score, its covariate and when it ended
 Serving = Generator[i.Action, tuple[float, i.Ended | None], None]
 
 
@@ -87,7 +87,7 @@
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
     SETTLE = 1000.0  # past the soak: about when the platform's own clock for a stage starts (bench page)
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
-    KEEP = 300  # samples a side: bounds the window, trims 3 an end
+    KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
 
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 / facts.balancers
@@ -110,12 +110,12 @@
         if not all(self.covariate):
             self.covariate = [0.0] * len(self.pre)
 
-    def take(self, build: int, route: int, score: float, on_trial: bool) -> None:
+    def take(self, build: int, route: int, score: float, on_trial: bool, now: float) -> None:
         if on_trial and build == self.build:
-            self.trial.append((score, self.covariate[route]))
+            self.trial.append((score, self.covariate[route], now))
         elif not on_trial:
             self.pre[route].append(score)
-            self.earlier.append((score, self.covariate[route]))
+            self.earlier.append((score, self.covariate[route], now))
 
     def judge(self, stage: int, age: float) -> tuple[Verdict, str]:
         """The vote for this stage; once per stage where one vote decides."""
@@ -125,11 +125,14 @@
         if self.tested == stage and not again:
             return self.verdict, ""
         self.tested = stage
-        if min(len(self.trial), len(self.earlier)) < self.FLOOR:
+        # Both sides over the same time, or a spell that only one window still holds counts against its build.
+        since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
+        trial, earlier = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
+        if min(len(trial), len(earlier)) < self.FLOOR:
             self.verdict = Verdict.ON
-            return self.verdict, f"{len(self.trial)} and {len(self.earlier)} samples"
-        p, y2, y1 = yuen_cuped(list(self.trial), list(self.earlier), self.MARGIN)
-        text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(self.trial)}, p {p:.4f}"
+            return self.verdict, f"{len(trial)} and {len(earlier)} samples"
+        p, y2, y1 = yuen_cuped(trial, earlier, self.MARGIN)
+        text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(trial)} and {len(earlier)}, p {p:.4f}"
         if p < self.alpha:
             self.verdict = Verdict.BACK
         elif y2 > self.MARGIN * y1 and self.held_at == -1:
@@ -346,13 +349,13 @@
             m.ejected_until, m.failing = now + 2000 + 1000 * self.random(), 0.35
         if gone.judged and ended.end in (End.COMPLETED, End.ERRORED, End.TIMEOUT, End.RESET):
             score = ended.took_ms if ended.end == End.COMPLETED else route.timeout_ms
-            self.judge.take(m.row.build, gone.route, score, self.on_trial(m.row.build))
+            self.judge.take(m.row.build, gone.route, score, self.on_trial(m.row.build), now)
 
     def flagged(self, event: i.Flagged, now: float) -> None:
         """An answer found wrong counts like another ending: the route timeout."""
         if m := self.machines.get(event.machine):
             score = self.facts.routes[event.route].timeout_ms
-            self.judge.take(m.row.build, event.route, score, self.on_trial(m.row.build))
+            self.judge.take(m.row.build, event.route, score, self.on_trial(m.row.build), now)
 
     # --- routing ---
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -12,13 +12,16 @@
     draw = random.Random(3)
     a = [draw.lognormvariate(0.2, 1) for _ in range(230)]
     b = [draw.lognormvariate(0.0, 1) for _ in range(310)]
-    p, y2, y1 = choice.yuen_cuped([(v, 0.0) for v in a], [(v, 0.0) for v in b], 1.0)
+    p, y2, y1 = choice.yuen_cuped([(v, 0.0, 0.0) for v in a], [(v, 0.0, 0.0) for v in b], 1.0)
     assert p == pytest.approx(ttest_ind(a, b, equal_var=False, trim=0.01, alternative="greater").pvalue)
     assert y2 > y1
 
 
 def test_covariate_by_hand():
-    trial, earlier = [(6.0, 1.0), (6.0, 2.0), (9.0, 3.0)], [(2.0, 1.0), (2.0, 2.0), (5.0, 3.0)]
+    trial, earlier = (
+        [(y, x, 0.0) for y, x in zip(side, (1.0, 2.0, 3.0), strict=True)]
+        for side in ((6.0, 6.0, 9.0), (2.0, 2.0, 5.0))
+    )
     # h(h-1) = 6; sums of squares: y 6, x 2, xy 3; theta 3/2; variance each (6 + 2.25*2 - 3*3)/6 = 0.25
     p, y2, y1 = choice.yuen_cuped(trial, earlier, 1.0)
     assert (y2, y1) == (7.0, 3.0)
@@ -27,8 +30,8 @@
 
 
 def test_zero_variance_decides_by_the_gap():
-    assert choice.yuen_cuped([(5.0, 0.0)] * 4, [(2.0, 0.0)] * 4, 1.3)[0] == 0.0
-    assert choice.yuen_cuped([(2.0, 0.0)] * 4, [(2.0, 0.0)] * 4, 1.3)[0] == 1.0
+    assert choice.yuen_cuped([(5.0, 0.0, 0.0)] * 4, [(2.0, 0.0, 0.0)] * 4, 1.3)[0] == 0.0
+    assert choice.yuen_cuped([(2.0, 0.0, 0.0)] * 4, [(2.0, 0.0, 0.0)] * 4, 1.3)[0] == 1.0
 
 
 @pytest.fixture
@@ -40,8 +43,8 @@
 
 def fill(judge, trial, earlier):
     for n in range(40):
-        judge.take(2, 0, trial + n % 7, True)
-        judge.take(1, 0, earlier + n % 7, False)
+        judge.take(2, 0, trial + n % 7, True, float(n))
+        judge.take(1, 0, earlier + n % 7, False, float(n))
 
 
 def test_no_vote_before_the_stage_age(judge):
@@ -65,7 +68,15 @@
 
 def test_past_the_margin_but_not_significant_is_held_once(judge):
     for n in range(20):
-        judge.take(2, 0, 100.0 if n % 5 else 550.0, True)
-        judge.take(1, 0, 100.0 + n, False)
+        judge.take(2, 0, 100.0 if n % 5 else 550.0, True, float(n))
+        judge.take(1, 0, 100.0 + n, False, float(n))
     assert judge.judge(0, judge.stage_age)[0] == Verdict.HOLD
     assert judge.judge(0, 2 * judge.stage_age)[0] == Verdict.ON
+
+
+def test_both_sides_are_taken_over_the_same_time(judge):
+    for n in range(60):
+        judge.take(2, 0, 900.0 if n < 30 else 100.0 + n, True, float(n))
+        if n >= 30:
+            judge.take(1, 0, 100.0 + n, False, float(n))
+    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
