--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -17,7 +17,7 @@
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 
-Sample = tuple[float, float, float]  # a try's score, its covariate and when it ended
+Sample = tuple[float, float, float, float]  # a try's score, its covariate, its end, the tries it met
 Serving = Generator[i.Action, tuple[float, i.Ended | None], None]
 
 
@@ -29,7 +29,7 @@
     cost: float
     judged: bool
     key: str | None
-    queue: float  # tries ahead on the machine when it was sent, against the usual
+    met: float  # tries on the machine when it was sent, and 2 as a few cores share them
 
 
 @dataclass(slots=True)
@@ -92,55 +92,75 @@
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 / facts.balancers
         self.stage_age = facts.rollout.soak_ms + self.SETTLE
-        self.build = -1
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
-        self.covariate = [0.0] * len(facts.routes)
-        self.tested = -1
-        self.held_at = -1
-        self.verdict = Verdict.NONE
+        self.last = len(facts.rollout.caps) - 1
+        self.offer(-1)
 
     def offer(self, build: int) -> None:
         """A newer build begins its trial: samples start afresh, the baseline is what came before."""
-        self.build, self.tested, self.held_at, self.verdict = build, -1, -1, Verdict.NONE
+        self.build, self.tested, self.verdict = build, -1, Verdict.NONE
         self.earlier.clear()
         self.trial.clear()
-        self.covariate = [sum(p) / len(p) if len(p) >= 5 else 0.0 for p in self.pre]
-        if not all(self.covariate):
-            self.covariate = [0.0] * len(self.pre)
-
-    def take(self, build: int, route: int, score: float, on_trial: bool, now: float) -> None:
-        if on_trial and build == self.build:
-            self.trial.append((score, self.covariate[route], now))
-        elif not on_trial:
+        known = all(len(p) >= 5 for p in self.pre)
+        self.covariate = [sum(p) / len(p) if known else 0.0 for p in self.pre]
+
+    def take(self, build: int, route: int, score: float, met: float, on_trial: bool, now: float) -> None:
+        sample = (score, self.covariate[route], now, met)
+        if build < self.build or self.build < 0:
+            self.earlier.append(sample)
+        elif build == self.build:
+            self.trial.append(sample)
+        if not on_trial:
             self.pre[route].append(score)
-            self.earlier.append((score, self.covariate[route], now))
 
     def judge(self, stage: int, age: float) -> tuple[Verdict, str]:
         """The vote for this stage; once per stage where one vote decides."""
         if age < self.stage_age:
             return Verdict.NONE, ""
-        again = self.held_at == stage and self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
+        again = self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
         if self.tested == stage and not again:
             return self.verdict, ""
         self.tested = stage
         # Both sides over the same time, or a spell that only one window still holds counts against its build.
         since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
         trial, earlier = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
-        if min(len(trial), len(earlier)) < self.FLOOR:
-            self.verdict = Verdict.ON
-            return self.verdict, f"{len(trial)} and {len(earlier)} samples"
-        p, y2, y1 = yuen_cuped(trial, earlier, self.MARGIN)
-        text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(trial)} and {len(earlier)}, p {p:.4f}"
+        p, past, text = self.test(trial, earlier, self.MARGIN)
         if p < self.alpha:
             self.verdict = Verdict.BACK
-        elif y2 > self.MARGIN * y1 and self.held_at == -1:
-            self.held_at, self.verdict = stage, Verdict.HOLD
+        elif past and stage == self.last and not again:  # the one hold is kept for where it matters most
+            self.verdict = Verdict.HOLD
         else:
             self.verdict = Verdict.ON
         return self.verdict, text
 
+    def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, bool, str]:
+        """p, whether the trial's mean is past the margin, and the figures."""
+        if min(len(trial), len(earlier)) < self.FLOOR:
+            return 1.0, False, f"{len(trial)} and {len(earlier)} samples"
+        p, y2, y1 = yuen_cuped(trial, earlier, margin)
+        text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(trial)} and {len(earlier)}, p {p:.4f}"
+        return p, y2 > margin * y1, text
+
+    LATER = 2.0  # margin after release: other troubles may have come since the earlier build's samples
+
+    def rejudge(self, age: float) -> tuple[Verdict, str]:
+        """Exception: a released build is tested each stage age against the earlier build's last samples.
+
+        Guards against a build that turns bad with age or under full load. As the load differs by then, each
+        score is divided by the tries met on its machine. Hurts when half the fleet slows just then.
+        """
+        look = int(age // self.stage_age)
+        if self.verdict == Verdict.BACK or look < 1 or look == -self.tested:
+            return (self.verdict, "") if self.verdict == Verdict.BACK else (Verdict.NONE, "")
+        self.tested = -look
+        recent = list(self.trial)[-self.KEEP // 4 :]
+        sides = ([(x[0] / x[3], *x[1:]) for x in side] for side in (recent, self.earlier))
+        p, _, text = self.test(*sides, self.LATER)
+        self.verdict = Verdict.BACK if p < self.alpha else Verdict.NONE
+        return self.verdict, text if self.verdict == Verdict.BACK else ""
+
 
 class Balancer:
     TICK = 100.0  # ms between looks at the stage; short beside every stage age
@@ -153,24 +173,22 @@
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
         self.news_at = now
         self.usual = [r.objective_ms / 4 for r in facts.routes]  # latency per route, learnt
-        self.taken: list[deque[float]] = [deque() for _ in self.kinds()]  # emptied by age
-        self.trial_sent: list[deque[float]] = [deque() for _ in self.kinds()]  # emptied by age
+        kinds = range(len(facts.routes) if facts.rollout.by_route else 1)
+        self.taken: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
+        self.trial_sent: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
         self.spare_tries = 5.0  # retry budget
         self.done_cost, self.rate, self.rate_at = 0.0, 0.0, now
         self.vote: i.Vote | None = None
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
         self.watch_again = float("inf")
         self.credit = 0.0  # upstream tries that the build on trial may be given now
-        self.usual_queue, self.few_on_trial = 0.0, True
+        self.usual_met, self.few_on_trial = 2.0, True
         self.limit, self.strain = float("inf"), 0.0
         by_work = facts.benefit_by_work
         self.density = [r.benefit / (1 if by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
-    def kinds(self) -> range:
-        return range(len(self.facts.routes) if self.facts.rollout.by_route else 1)
-
     # --- the list and the stages ---
 
     def start(self, now: float) -> list[i.Action]:
@@ -247,9 +265,12 @@
         self.learn_rate(now)
         self.adapt()
         news = self.news
-        if news.phase != Phase.ON_TRIAL or news.build != self.judge.build:
+        if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
-        verdict, why = self.judge.judge(news.stage, self.stage_age(now))
+        if news.phase == Phase.RELEASED:
+            verdict, why = self.judge.rejudge(news.age_ms + now - self.news_at)
+        else:
+            verdict, why = self.judge.judge(news.stage, self.stage_age(now))
         if why:
             actions.append(i.Note(f"build {news.build} stage {news.stage}: {verdict.name} ({why})"))
         clock = (
@@ -334,7 +355,7 @@
             self.done_cost += gone.cost
             if gone.key and self.facts.rollout.no_return and self.on_trial(m.row.build):
                 self.answered.add(gone.key)
-            seen = ended.took_ms / self.usual[gone.route] / gone.queue
+            seen = ended.took_ms / self.usual[gone.route] / gone.met * self.usual_met
             m.pace += 0.1 * (min(seen, 8.0) - m.pace)
             self.usual[gone.route] += 0.02 * (ended.took_ms - self.usual[gone.route])
         if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.apart(m):
@@ -345,33 +366,35 @@
         failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
-        if failed and m.failing > 0.45 and not self.on_trial(m.row.build):
+        if failed and m.failing > 0.45 and (not self.on_trial(m.row.build) or self.alone(m)):
             m.ejected_until, m.failing = now + 2000 + 1000 * self.random(), 0.35
         if gone.judged and ended.end in (End.COMPLETED, End.ERRORED, End.TIMEOUT, End.RESET):
             score = ended.took_ms if ended.end == End.COMPLETED else route.timeout_ms
-            self.judge.take(m.row.build, gone.route, score, self.on_trial(m.row.build), now)
+            self.judge.take(m.row.build, gone.route, score, gone.met, self.on_trial(m.row.build), now)
 
     def flagged(self, event: i.Flagged, now: float) -> None:
         """An answer found wrong counts like another ending: the route timeout."""
         if m := self.machines.get(event.machine):
             score = self.facts.routes[event.route].timeout_ms
-            self.judge.take(m.row.build, event.route, score, self.on_trial(m.row.build), now)
+            self.judge.take(m.row.build, event.route, score, 2.0, self.on_trial(m.row.build), now)
+
+    def alone(self, m: Machine) -> bool:
+        """Whether a trial machine fails apart from its build; a bad build must be seen to fail everywhere."""
+        peers = [p.failing for p in self.machines.values() if p.row.build == m.row.build and p is not m]
+        return len(peers) >= 2 and sum(peers) / len(peers) < m.failing / 3
 
     # --- routing ---
 
+    AWAY = 1.15  # another zone's machine: taken when a sixth better, as crossing is priced
+
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         pace = m.pace
         if m.out:
             oldest = next(iter(m.out.values()))
             pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
-        return (len(m.out) + m.others + 1) * pace * self.warm_cost(m, now) / max(m.row.weight, 0.1)
-
-    AWAY = 1.15  # another zone's machine: taken when a sixth better, as crossing is priced
-
-    def warm_cost(self, m: Machine, now: float) -> float:
-        away = self.AWAY if m.row.zone != self.facts.zone else 1.0
-        return away * (1 + m.failing) / self.warmth(m, now)
+        pace *= (1 + m.failing) * (self.AWAY if m.row.zone != self.facts.zone else 1.0)
+        return (len(m.out) + m.others + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
 
     def pick(self, rq: i.Req, now: float, tried: list[Machine], ran: list[Try]) -> Machine | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
@@ -516,10 +539,9 @@
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
         young = max(Judge.YOUNG, self.facts.rules.cold_ms)
         judged = m.row.started <= 0 or now - m.row.started >= young
-        queue = len(m.out) + m.others
-        self.usual_queue += 0.02 * (queue - self.usual_queue)
-        ahead = (queue + 2) / (self.usual_queue + 2)
-        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, rq.key, ahead)
+        met = len(m.out) + m.others + 2
+        self.usual_met += 0.02 * (met - self.usual_met)
+        t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, rq.key, met)
         m.out[rq.ident, number] = t
         m.last_sent = now
         m.sent.append((now, t.cost))
