--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -101,6 +101,7 @@
     def offer(self, build: int) -> None:
         """A newer build begins its trial: samples start afresh, the baseline is what came before."""
         self.build, self.tested, self.verdict = build, -1, Verdict.NONE
+        self.before = list(self.earlier)
         self.earlier.clear()
         self.trial.clear()
         known = all(len(p) >= 5 for p in self.pre)
@@ -115,25 +116,38 @@
         if not on_trial:
             self.pre[route].append(score)
 
-    def judge(self, stage: int, age: float) -> tuple[Verdict, str]:
-        """The vote for this stage; once per stage where one vote decides."""
-        if age < self.stage_age:
-            return Verdict.NONE, ""
+    LATER = 2.0  # margin against samples of another time: other troubles may have come since
+
+    def judge(self, stage: int, age: float, released: bool) -> tuple[Verdict, str]:
+        """The vote for this stage, tested once; each stage age after a release counts as a stage."""
+        key = -1 - int(age // self.stage_age) if released else stage
         again = self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
-        if self.tested == stage and not again:
+        if self.verdict == Verdict.BACK or age < self.stage_age:
+            return (Verdict.BACK if self.verdict == Verdict.BACK else Verdict.NONE), ""
+        if self.tested == key and not again:
             return self.verdict, ""
-        self.tested = stage
-        # Both sides over the same time, or a spell that only one window still holds counts against its build.
-        since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
-        trial, earlier = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
-        p, past, text = self.test(trial, earlier, self.MARGIN)
+        self.tested = key
+        # Exception: against the earlier build before the trial, each score over the tries met on its machine
+        # as the load may differ. Guards against a build that slows every machine alike or turns bad after
+        # release. Hurts when most of the fleet slows from another cause in the same seconds.
+        recent = list(self.trial)[-self.KEEP // 4 :]
+        past_side, margin = (self.earlier, self.LATER) if released else (self.before, self.LATER + 1)
+        sides = ([(x[0] / x[3], 0.0, *x[2:]) for x in side] for side in (recent, past_side))
+        p, past, text = self.test(*sides, margin)
+        if not released and p >= self.alpha:
+            # Both sides over the same time, or a spell that only one window holds counts against its build.
+            since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
+            now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
+            p, past, text = self.test(*now, self.MARGIN)
         if p < self.alpha:
             self.verdict = Verdict.BACK
+        elif released:
+            self.verdict = Verdict.NONE
         elif past and stage == self.last and not again:  # the one hold is kept for where it matters most
             self.verdict = Verdict.HOLD
         else:
             self.verdict = Verdict.ON
-        return self.verdict, text
+        return self.verdict, "" if self.verdict == Verdict.NONE else text
 
     def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, bool, str]:
         """p, whether the trial's mean is past the margin, and the figures."""
@@ -143,24 +157,6 @@
         text = f"trimmed means {y2:.0f} and {y1:.0f} ms, n {len(trial)} and {len(earlier)}, p {p:.4f}"
         return p, y2 > margin * y1, text
 
-    LATER = 2.0  # margin after release: other troubles may have come since the earlier build's samples
-
-    def rejudge(self, age: float) -> tuple[Verdict, str]:
-        """Exception: a released build is tested each stage age against the earlier build's last samples.
-
-        Guards against a build that turns bad with age or under full load. As the load differs by then, each
-        score is divided by the tries met on its machine. Hurts when half the fleet slows just then.
-        """
-        look = int(age // self.stage_age)
-        if self.verdict == Verdict.BACK or look < 1 or look == -self.tested:
-            return (self.verdict, "") if self.verdict == Verdict.BACK else (Verdict.NONE, "")
-        self.tested = -look
-        recent = list(self.trial)[-self.KEEP // 4 :]
-        sides = ([(x[0] / x[3], *x[1:]) for x in side] for side in (recent, self.earlier))
-        p, _, text = self.test(*sides, self.LATER)
-        self.verdict = Verdict.BACK if p < self.alpha else Verdict.NONE
-        return self.verdict, text if self.verdict == Verdict.BACK else ""
-
 
 class Balancer:
     TICK = 100.0  # ms between looks at the stage; short beside every stage age
@@ -267,10 +263,9 @@
         news = self.news
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
-        if news.phase == Phase.RELEASED:
-            verdict, why = self.judge.rejudge(news.age_ms + now - self.news_at)
-        else:
-            verdict, why = self.judge.judge(news.stage, self.stage_age(now))
+        released = news.phase == Phase.RELEASED
+        age = news.age_ms + now - self.news_at if released else self.stage_age(now)
+        verdict, why = self.judge.judge(news.stage, age, released)
         if why:
             actions.append(i.Note(f"build {news.build} stage {news.stage}: {verdict.name} ({why})"))
         clock = (
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -53,30 +53,30 @@
 
 def test_no_vote_before_the_stage_age(judge):
     fill(judge, 900.0, 100.0)
-    assert judge.judge(0, 100.0)[0] == Verdict.NONE
+    assert judge.judge(0, 100.0, False)[0] == Verdict.NONE
 
 
 def test_on_with_one_side_empty(judge):
-    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
 
 
 def test_back_on_a_significant_slowdown(judge):
     fill(judge, 200.0, 100.0)
-    assert judge.judge(0, judge.stage_age)[0] == Verdict.BACK
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.BACK
 
 
 def test_on_within_the_margin(judge):
     fill(judge, 120.0, 100.0)
-    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
 
 
 def test_past_the_margin_but_not_significant_is_held_once_at_the_last_stage(judge):
     for n in range(20):
         give(judge, 2, 100.0 if n % 5 else 550.0, n)
         give(judge, 1, 100.0 + n, n)
-    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
-    assert judge.judge(2, judge.stage_age)[0] == Verdict.HOLD
-    assert judge.judge(2, 2 * judge.stage_age)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
+    assert judge.judge(2, judge.stage_age, False)[0] == Verdict.HOLD
+    assert judge.judge(2, 2 * judge.stage_age, False)[0] == Verdict.ON
 
 
 def test_both_sides_are_taken_over_the_same_time(judge):
@@ -84,19 +84,25 @@
         give(judge, 2, 900.0 if n < 30 else 100.0 + n, n)
         if n >= 30:
             give(judge, 1, 100.0 + n, n)
-    assert judge.judge(0, judge.stage_age)[0] == Verdict.ON
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
 
 
 def test_a_released_build_that_turns_slow_goes_back(judge):
     fill(judge, 100.0, 100.0)
-    assert judge.rejudge(judge.stage_age)[0] == Verdict.NONE
+    assert judge.judge(2, judge.stage_age, True)[0] == Verdict.NONE
     for n in range(250):
         give(judge, 2, 300.0 + n % 7, n)
-    assert judge.rejudge(2 * judge.stage_age)[0] == Verdict.BACK
+    assert judge.judge(2, 2 * judge.stage_age, True)[0] == Verdict.BACK
 
 
 def test_load_alone_does_not_send_a_released_build_back(judge):
     fill(judge, 100.0, 100.0)
     for n in range(250):
         give(judge, 2, 300.0 + n % 7, n, met=6.0)
-    assert judge.rejudge(judge.stage_age)[0] == Verdict.NONE
+    assert judge.judge(2, judge.stage_age, True)[0] == Verdict.NONE
+
+
+def test_a_build_that_slows_every_machine_alike_goes_back(judge):
+    judge.before = [(100.0 + n % 7, 0.0, 0.0, 2.0) for n in range(60)]
+    fill(judge, 400.0, 400.0)
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.BACK
