Count a try exactly one span ago against the exposure cap

Tries are now kept 10 ms longer than the span and reqs 10 ms shorter, which also covers clocks that step. Costs a hair of exposure.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -246,8 +246,9 @@
         if cap <= 0 or (stage < roll.guarded_stages and not retriable):
             return False
         kind = rq.route if roll.by_route else 0
-        for times in (self.taken[kind], self.trial_sent[kind]):
-            while times and times[0] <= now - roll.span_ms:
+        # A try exactly one span ago counts still: tries are kept 10 ms too long, reqs 10 ms too short.
+        for times, edge in ((self.taken[kind], -10.0), (self.trial_sent[kind], 10.0)):
+            while times and times[0] < now - roll.span_ms - edge:
                 times.popleft()
         return len(self.trial_sent[kind]) + 1 <= roll.free + cap * len(self.taken[kind])
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -137,3 +137,10 @@
 def test_a_listed_build_is_judged_before_its_news(balancer):
     balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
     assert balancer.judge.build == 2
+
+
+def test_a_try_one_span_ago_still_counts(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
+    balancer.taken[0].extend([1000.0] * 6)
+    balancer.trial_sent[0].extend([500.0] + [1000.0] * 3)
+    assert not balancer.exposure_room(req(), 2, 2500.0)
