Follow the stages from moot answers when the news comes late

A moot answer to an on now counts as the next stage begun when our vote stood; the cap stays as told. Should also help where news is lost. Harmless after a withdrawal: further votes are moot.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -167,7 +167,7 @@
         self.machines: dict[int, Machine] = {}  # emptied by the list
         self.judge = Judge(facts)
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
-        self.news_at = now
+        self.stage, self.stage_at, self.stood_at = 0, now, now  # as we believe; the cap is as last told
         self.usual = [r.objective_ms / 4 for r in facts.routes]  # latency per route, learnt
         kinds = range(len(facts.routes) if facts.rollout.by_route else 1)
         self.taken: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
@@ -188,10 +188,7 @@
     # --- the list and the stages ---
 
     def start(self, now: float) -> list[i.Action]:
-        actions: list[i.Action] = [i.WakeAt(now + self.TICK)]
-        if self.facts.list_on_request:
-            actions.append(i.Watch())
-        return actions
+        return [i.WakeAt(now + self.TICK), *([i.Watch()] if self.facts.list_on_request else [])]
 
     def listed(self, event: i.Listed, now: float) -> list[i.Action]:
         if event.kind == i.ListKind.FAILED:
@@ -214,8 +211,13 @@
         return []
 
     def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
-        if event.answers_vote:
+        if event.answers_vote and self.vote:
             self.vote_ok = event.end in (End.COMPLETED, End.TIMEOUT)  # a timeout may count
+            self.stood_at = now if event.end == End.COMPLETED else self.stood_at
+            voted = (self.vote.build, self.vote.stage, self.vote.verdict)
+            if event.end == End.MOOT and voted == (self.news.build, self.stage, Verdict.ON):
+                # Guards against late news: the stage we knew is over, the next began since our vote stood.
+                self.stage, self.stage_at = min(self.stage + 1, self.judge.last), self.stood_at
         if event.end != End.COMPLETED:
             self.next_call = now + 500 + 1000 * self.random()
             return []
@@ -225,7 +227,9 @@
             self.judge.offer(event.build)
         if event.build != self.news.build or event.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
             self.answered.clear()
-        self.news, self.news_at = event, now
+        if event.stage >= self.stage or (event.build, event.phase) != (self.news.build, self.news.phase):
+            self.stage, self.stage_at = event.stage, now - event.age_ms
+        self.news = event
         return []
 
     def on_trial(self, build: int) -> bool:
@@ -265,19 +269,13 @@
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
         released = news.phase == Phase.RELEASED
-        age = news.age_ms + now - self.news_at if released else self.stage_age(now)
-        verdict, why = self.judge.judge(news.stage, age, released)
+        age = now - self.stage_at if released else self.stage_age(now)
+        verdict, why = self.judge.judge(self.stage, age, released)
         if why:
-            actions.append(i.Note(f"build {news.build} stage {news.stage}: {verdict.name} ({why})"))
-        clock = (
-            self.facts.rollout.gate == i.Gate.CLOCK
-        )  # there only hold and back exist, else only on and back
-        if (
-            verdict == Verdict.BACK
-            or (verdict == Verdict.HOLD and clock)
-            or (verdict == Verdict.ON and not clock)
-        ):
-            actions += self.cast(i.Vote(news.build, verdict, news.stage), now)
+            actions.append(i.Note(f"build {news.build} stage {self.stage}: {verdict.name} ({why})"))
+        clock = self.facts.rollout.gate == i.Gate.CLOCK  # which knows hold and back, the others on and back
+        if verdict in (Verdict.BACK, Verdict.HOLD if clock else Verdict.ON):
+            actions += self.cast(i.Vote(news.build, verdict, self.stage), now)
         return actions
 
     BOOT = 8000.0  # the platform's clock waits no longer than this for a stage's machines (bench page)
@@ -287,7 +285,7 @@
 
         A stage that names no new machine (it needs none, or the list lags) is taken to run after BOOT.
         """
-        told = self.news.age_ms + now - self.news_at
+        told = now - self.stage_at
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         if starts and max(starts) > now - told:
             return now - max(starts)
@@ -449,14 +447,11 @@
         zone, cell = first.row.zone == m.row.zone, first.row.cell == m.row.cell
         return zone if route.group == i.Group.ZONE else cell
 
-    def may_shed(self, rq: i.Req, ran: list[Try]) -> bool:
-        route = self.facts.routes[rq.route]
-        if not ran or route.effect == Effect.RETRIABLE:
-            return True
-        return route.effect == Effect.DEDUPED and route.group == i.Group.ALL
-
     def refuse(self, rq: i.Req, ran: list[Try]) -> i.Shed | i.Fail:
-        if not self.may_shed(rq, ran):
+        """The final answer to a req given up on: a shed reply only where a repeat does no harm."""
+        effect, group = self.facts.routes[rq.route].effect, self.facts.routes[rq.route].group
+        repeatable = effect == Effect.RETRIABLE or (effect == Effect.DEDUPED and group == i.Group.ALL)
+        if ran and not repeatable:
             return i.Fail()
         return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,7 +26,7 @@
     assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, ran)
     assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, ran)
     assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, ran)
-    assert not balancer.may_shed(req(route=1), ran)
+    assert balancer.refuse(req(route=1), ran) == i.Fail()
 
 
 def test_no_try_after_the_clients_own_time(balancer):
@@ -144,3 +144,12 @@
     balancer.taken[0].extend([1000.0] * 6)
     balancer.trial_sent[0].extend([500.0] + [1000.0] * 3)
     assert not balancer.exposure_room(req(), 2, 2500.0)
+
+
+def test_a_moot_vote_on_tells_that_the_stage_is_over(balancer):
+    balancer.stage_news(news(2, 0, i.Phase.ON_TRIAL, cap=0.1), 0.0)
+    balancer.cast(i.Vote(2, i.Verdict.ON, 0), 100.0)
+    balancer.stage_news(news(0, 0, end=i.End.MOOT, answers=True), 200.0)
+    assert (balancer.stage, balancer.cap(2)) == (1, (0.1, 0))
+    balancer.stage_news(news(2, 0, i.Phase.ON_TRIAL, cap=0.1), 300.0)
+    assert balancer.stage == 1
