--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -130,10 +130,12 @@
         # Exception: against the earlier build before the trial, each score over the tries met on its machine
         # as the load may differ. Guards against a build that slows every machine alike or turns bad after
         # release. Hurts when most of the fleet slows from another cause in the same seconds.
-        recent = list(self.trial)[-self.KEEP // 4 :]
-        past_side, margin = (self.earlier, self.LATER) if released else (self.before, self.LATER + 1)
-        sides = ([(x[0] / x[3], 0.0, *x[2:]) for x in side] for side in (recent, past_side))
-        p, past, text = self.test(*sides, margin)
+        recent = [(x[0] / x[3], 0.0, *x[2:]) for x in list(self.trial)[-self.KEEP // 4 :]]
+        p, past, text = 1.0, False, ""
+        for past_side in (self.before, self.earlier) if released else (self.before,):
+            if p >= self.alpha:
+                scaled = [(x[0] / x[3], 0.0, *x[2:]) for x in past_side]
+                p, past, text = self.test(recent, scaled, self.LATER)
         if not released and p >= self.alpha:
             # Both sides over the same time, or a spell that only one window holds counts against its build.
             since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
