Rest a machine that answers full again and again as a failing one

A full answer now counts as a failure for resting only (it is no evidence on the build). Should also hold against a machine whose connections are used up. Could hurt in overload, where full machines rest: at most half of the fleet does.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -359,7 +359,7 @@
             self.strain += 0.08 * (min(share, 1.5) - self.strain)
         if ended.end == End.FULL:  # it answers at once and so looks idle: let a few tries drain
             m.ejected_until = max(m.ejected_until, now + self.usual[gone.route])
-        failed = ended.end in (End.ERRORED, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
+        failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
         if failed and m.failing > 0.45 and (not self.on_trial(m.row.build) or self.alone(m)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -153,3 +153,10 @@
     assert (balancer.stage, balancer.cap(2)) == (1, (0.1, 0))
     balancer.stage_news(news(2, 0, i.Phase.ON_TRIAL, cap=0.1), 300.0)
     assert balancer.stage == 1
+
+
+def test_a_machine_that_answers_full_again_and_again_rests_longer(balancer):
+    for n in range(4):
+        balancer.machines[0].out[n, 0] = choice.Try(0, 0, 0.0, 1.0, False, None, 2.0)
+        balancer.observe(n, ended(0, i.End.FULL), 0.0)
+    assert balancer.machines[0].ejected_until >= 2000.0
