Empty the req window when no build is on trial; log refusing began and ended

Found on a read-through: the window of reqs taken was emptied only while a build was on trial, so it grew with traffic otherwise. It is now emptied at every tick. An operator's first question in a burst had no log line.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -181,9 +181,8 @@
         self.watch_again = float("inf")
         self.credit = 0.0  # upstream tries that the build on trial may be given now
         self.usual_met, self.few_on_trial = 2.0, True
-        self.limit, self.strain = float("inf"), 0.0
-        by_work = facts.benefit_by_work
-        self.density = [r.benefit / (1 if by_work else r.objective_ms) for r in facts.routes]
+        self.limit, self.strain, self.refused_at, self.refusing = float("inf"), 0.0, -1e9, False
+        self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
@@ -222,8 +221,7 @@
                 self.stage, self.stage_at = min(self.stage + 1, self.judge.last), self.stood_at
         if event.end != End.COMPLETED:
             self.next_call = now + 500 + 1000 * self.random()
-            return []
-        if event.build < self.news.build:
+        if event.end != End.COMPLETED or event.build < self.news.build:
             return []
         if event.build > self.judge.build and event.phase == Phase.ON_TRIAL:
             self.judge.offer(event.build)
@@ -252,12 +250,16 @@
         if cap <= 0 or (stage < roll.guarded_stages and not retriable):
             return False
         kind = rq.route if roll.by_route else 0
-        # A try exactly one span ago counts still: tries are kept 10 ms too long, reqs 10 ms too short.
-        for times, edge in ((self.taken[kind], -10.0), (self.trial_sent[kind], 10.0)):
-            while times and times[0] < now - roll.span_ms - edge:
-                times.popleft()
+        self.prune(now)
         return len(self.trial_sent[kind]) + 1 <= roll.free + cap * len(self.taken[kind])
 
+    def prune(self, now: float) -> None:
+        """A try exactly one span ago counts still: tries are kept 10 ms too long, reqs 10 ms too short."""
+        for windows, edge in ((self.taken, -10.0), (self.trial_sent, 10.0)):
+            for times in windows:
+                while times and times[0] < now - self.facts.rollout.span_ms - edge:
+                    times.popleft()
+
     # --- votes ---
 
     def wake(self, now: float) -> list[i.Action]:
@@ -265,8 +267,14 @@
         if now >= self.watch_again:
             self.watch_again = float("inf")
             actions.append(i.Watch())
+        self.prune(now)
         self.learn_rate(now)
         self.adapt()
+        if (self.refused_at > now - 1000) != self.refusing:
+            self.refusing = not self.refusing
+            resting = sum(m.ejected_until > now for m in self.machines.values())
+            text = f"refusing {'began' if self.refusing else 'ended'}: open limit {self.limit:.0f}"
+            actions.append(i.Note(f"{text}, {resting} machines rest"))
         news = self.news
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
@@ -283,10 +291,7 @@
     BOOT = 8000.0  # the platform's clock waits no longer than this for a stage's machines (bench page)
 
     def stage_age(self, now: float) -> float:
-        """Time the stage has run with machines of its own: it says little while they only start.
-
-        A stage that names no new machine (it needs none, or the list lags) is taken to run after BOOT.
-        """
+        """Time since the newest trial machine started; a stage without new ones runs after BOOT."""
         told = now - self.stage_at
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         if starts and max(starts) > now - told:
@@ -324,10 +329,7 @@
         return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
 
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
-        """Whether one more try leaves a cold machine standing, whatever the other fronts do alike.
-
-        Guards against pushing over: our share of multiple x present capacity x window, capacity guessed low.
-        """
+        """Guards a cold machine from falling: our share of multiple x (low) capacity x window."""
         rules = self.facts.rules
         warmth = self.warmth(m, now)
         while m.sent and m.sent[0][0] <= now - rules.fall_ms:
@@ -414,8 +416,7 @@
                 return cand
         return best[False][1]
 
-    # Exceptions to 0.8 of the cap, against a good build that looks slow from load alone. Both act where the
-    # cap is ahead of the trial machines, as while they start, or the second where all machines overflow.
+    # Two exceptions to 0.8 of the cap, against a good build that looks slow from load alone: docs/design.md.
     PART = 1.35  # trial machines' part of the tries over their part of the fleet; 1.1 to 1.6 tried
     PUSH = 1.3  # tries on a trial machine over its peers': under the margin
 
@@ -509,6 +510,7 @@
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         self.earn(now)
         if not self.admit(rq, now):
+            self.refused_at = now
             yield self.refuse(rq, [])
             return
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,3 +160,16 @@
         balancer.machines[0].out[n, 0] = choice.Try(0, 0, 0.0, 1.0, False, None, 2.0)
         balancer.observe(n, ended(0, i.End.FULL), 0.0)
     assert balancer.machines[0].ejected_until >= 2000.0
+
+
+def test_the_window_of_reqs_empties_with_no_build_on_trial(balancer):
+    balancer.taken[0].extend([0.0] * 50)
+    balancer.wake(5000.0)
+    assert not balancer.taken[0]
+
+
+def test_refusing_is_logged_when_it_begins_and_ends(balancer):
+    balancer.limit = 0.0
+    next(balancer.serve(req(), 0.0))
+    assert any("began" in a.text for a in balancer.wake(100.0) if isinstance(a, i.Note))
+    assert any("ended" in a.text for a in balancer.wake(1200.0) if isinstance(a, i.Note))
