--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -359,8 +359,6 @@
         if ended.end in (End.COMPLETED, End.TIMEOUT) and not self.apart(m):
             share = ended.took_ms / route.objective_ms if ended.end == End.COMPLETED else 1.5
             self.strain += 0.08 * (min(share, 1.5) - self.strain)
-        if ended.end == End.FULL:  # it answers at once and so looks idle: let a few tries drain
-            m.ejected_until = max(m.ejected_until, now + self.usual[gone.route])
         failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
