Rank a few drawn machines, send cold ones whole tries by luck, share the limit's floor

Change: at most 12 machines are drawn and ranked, counts follow from list, news, sends and endings; a cold machine's budget is rounded to whole tries by a number drawn once a start, so the fronts' sum keeps it; the limit's floor is the fleet over the fronts; a moot vote on dates the next stage no earlier than the stage we knew could end. Should also hold against any trouble that adds fronts or machines. Could hurt where one machine of hundreds is far better than all others.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Generator
+from collections.abc import Generator, Iterable
 from dataclasses import dataclass, field
 from math import sqrt
 from random import Random
@@ -18,6 +18,7 @@
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 
 Sample = tuple[float, float, float, float]  # a try's score, its covariate, its end, the tries it met
+Past = list[tuple["Machine", "Try", bool]]  # a req's ended tries, and whether each may have run
 Serving = Generator[i.Action, tuple[float, i.Ended | None], None]
 
 
@@ -32,15 +33,16 @@
     met: float  # tries on the machine when it was sent, and 2 as a few cores share them
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Machine:
     row: i.Row
+    luck: float  # drawn once a start: which fronts may send a cold machine the last part of a try
     out: dict[tuple[int, int], Try] = field(default_factory=dict)  # emptied by each try's one ending
     others: float = 0.0  # load reported beyond our own
     pace: float = 1.0  # our latencies here over the usual ones of their routes
     failing: float = 0.0  # share of recent tries that failed
     ejected_until: float = 0.0
-    last_sent: float = -1e9
+    faded: float = 0.0  # when what is not seen was last faded
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
 
 
@@ -137,7 +139,7 @@
                 scaled = [(x[0] / x[3], 0.0, *x[2:]) for x in past_side]
                 p, past, text = self.test(recent, scaled, self.LATER)
         if not released and p >= self.alpha:
-            # Both sides over the same time, or a spell that only one window holds counts against its build.
+            # Over the same time, or a spell that only one window holds counts against its build.
             since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
             now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
             p, past, text = self.test(*now, self.MARGIN)
@@ -167,6 +169,8 @@
         self.facts = facts
         self.random = Random(seed).random
         self.machines: dict[int, Machine] = {}  # emptied by the list
+        self.sides: dict[bool, list[Machine]] = {False: [], True: []}  # in service; True: on trial
+        self.open = 0  # tries out on machines that are not apart
         self.judge = Judge(facts)
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
         self.stage, self.stage_at, self.stood_at = 0, now, now  # as we believe; the cap is as last told
@@ -178,9 +182,9 @@
         self.done_cost, self.rate, self.rate_at = 0.0, 0.0, now
         self.vote: i.Vote | None = None
         self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
-        self.watch_again = float("inf")
-        self.credit = 0.0  # upstream tries that the build on trial may be given now
-        self.usual_met, self.few_on_trial = 2.0, True
+        self.watch_again = now if facts.list_on_request else float("inf")
+        self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
+        self.usual_met, self.few_on_trial, self.newest, self.mean_open = 2.0, True, 0.0, 0.0
         self.limit, self.strain, self.refused_at, self.refusing = float("inf"), 0.0, -1e9, False
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
@@ -189,7 +193,7 @@
     # --- the list and the stages ---
 
     def start(self, now: float) -> list[i.Action]:
-        return [i.WakeAt(now + self.TICK), *([i.Watch()] if self.facts.list_on_request else [])]
+        return self.wake(now)
 
     def listed(self, event: i.Listed, now: float) -> list[i.Action]:
         if event.kind == i.ListKind.FAILED:
@@ -204,21 +208,33 @@
                 self.judge.offer(row.build)  # the list may be quicker than the news
             known = self.machines.get(row.machine)
             if known is None or known.row.started != row.started or known.row.build != row.build:
-                self.machines[row.machine] = Machine(row, out=known.out if known else {})
+                self.machines[row.machine] = Machine(row, self.random(), out=known.out if known else {})
             else:
                 known.row = row
         for index in [x for x, m in self.machines.items() if m.row.status == Status.GONE and not m.out]:
             del self.machines[index]
+        self.regroup()
         return []
 
+    def regroup(self) -> None:
+        """What follows from list and news alone, so that no req has to walk the fleet."""
+        self.sides = {False: [], True: []}
+        for m in self.machines.values():
+            if m.row.status == Status.IN_SERVICE:
+                self.sides[self.on_trial(m.row.build)].append(m)
+        self.few_on_trial = 2 * len(self.sides[True]) < len(self.machines)
+        starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
+        self.newest = max(starts, default=0.0)
+        self.open = sum(len(m.out) for m in self.machines.values() if not self.apart(m))
+
     def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
         if event.answers_vote and self.vote:
             self.vote_ok = event.end in (End.COMPLETED, End.TIMEOUT)  # a timeout may count
             self.stood_at = now if event.end == End.COMPLETED else self.stood_at
-            voted = (self.vote.build, self.vote.stage, self.vote.verdict)
-            if event.end == End.MOOT and voted == (self.news.build, self.stage, Verdict.ON):
+            if event.end == End.MOOT and self.vote == i.Vote(self.news.build, Verdict.ON, self.stage):
                 # Guards against late news: the stage we knew is over, the next began since our vote stood.
-                self.stage, self.stage_at = min(self.stage + 1, self.judge.last), self.stood_at
+                self.stage = min(self.stage + 1, self.judge.last)
+                self.stage_at = max(self.stood_at, self.stage_at + self.judge.stage_age)
         if event.end != End.COMPLETED:
             self.next_call = now + 500 + 1000 * self.random()
         if event.end != End.COMPLETED or event.build < self.news.build:
@@ -230,6 +246,7 @@
         if event.stage >= self.stage or (event.build, event.phase) != (self.news.build, self.news.phase):
             self.stage, self.stage_at = event.stage, now - event.age_ms
         self.news = event
+        self.regroup()
         return []
 
     def on_trial(self, build: int) -> bool:
@@ -269,12 +286,12 @@
             actions.append(i.Watch())
         self.prune(now)
         self.learn_rate(now)
+        self.share_out(now)
         self.adapt()
         if (self.refused_at > now - 1000) != self.refusing:
             self.refusing = not self.refusing
-            resting = sum(m.ejected_until > now for m in self.machines.values())
-            text = f"refusing {'began' if self.refusing else 'ended'}: open limit {self.limit:.0f}"
-            actions.append(i.Note(f"{text}, {resting} machines rest"))
+            word, resting = "began" if self.refusing else "ended", self.resting(self.machines.values(), now)
+            actions.append(i.Note(f"refusing {word}: open limit {self.limit:.0f}, {resting} machines rest"))
         news = self.news
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
@@ -293,10 +310,7 @@
     def stage_age(self, now: float) -> float:
         """Time since the newest trial machine started; a stage without new ones runs after BOOT."""
         told = now - self.stage_at
-        starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
-        if starts and max(starts) > now - told:
-            return now - max(starts)
-        return told - self.BOOT
+        return now - self.newest if self.newest > now - told else told - self.BOOT
 
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
         """Send a vote once; again when it was not taken, or before it lapses."""
@@ -329,23 +343,22 @@
         return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
 
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
-        """Guards a cold machine from falling: our share of multiple x (low) capacity x window."""
+        """Guards a cold machine: our share of multiple x (low) capacity x window, in whole tries by luck."""
         rules = self.facts.rules
         warmth = self.warmth(m, now)
         while m.sent and m.sent[0][0] <= now - rules.fall_ms:
             m.sent.popleft()
         if warmth >= 1.0:
             return True
-        if not m.out and now - m.last_sent > rules.fall_ms / 8:
-            return True
-        spent = sum(c for _, c in m.sent) + cost
-        return spent <= rules.overload_factor * warmth * self.rate * rules.fall_ms
+        spent = sum(c for _, c in m.sent) + m.luck * cost
+        return spent < rules.overload_factor * warmth * self.rate * rules.fall_ms
 
     def observe(self, ident: int, ended: i.Ended, now: float) -> None:
         m = self.machines.get(ended.machine)
         gone = m.out.pop((ident, ended.try_no), None) if m else None
         if m is None or gone is None:
             return
+        self.open -= not self.apart(m)
         if ended.load is not None:
             m.others += 0.5 * (max(0.0, ended.load - len(m.out)) - m.others)
         route = self.facts.routes[gone.route]
@@ -363,7 +376,9 @@
         if failed or ended.end == End.COMPLETED:
             m.failing += 0.2 * (failed - m.failing)
         if failed and m.failing > 0.45 and (not self.on_trial(m.row.build) or self.alone(m)):
-            m.ejected_until, m.failing = now + 2000 + 1000 * self.random(), 0.35
+            peers = self.sides[self.on_trial(m.row.build)]
+            if 2 * self.resting(peers, now) < len(peers):  # the others must bear the load
+                m.ejected_until, m.failing = now + 2000 + 1000 * self.random(), 0.35
         if gone.judged and ended.end in (End.COMPLETED, End.ERRORED, End.TIMEOUT, End.RESET):
             score = ended.took_ms if ended.end == End.COMPLETED else route.timeout_ms
             self.judge.take(m.row.build, gone.route, score, gone.met, self.on_trial(m.row.build), now)
@@ -374,6 +389,9 @@
             score = self.facts.routes[event.route].timeout_ms
             self.judge.take(m.row.build, event.route, score, 2.0, self.on_trial(m.row.build), now)
 
+    def resting(self, machines: Iterable[Machine], now: float) -> int:
+        return sum(m.ejected_until > now for m in machines)
+
     def alone(self, m: Machine) -> bool:
         """Whether a trial machine fails apart from its build; a bad build must be seen to fail everywhere."""
         peers = [p.failing for p in self.machines.values() if p.row.build == m.row.build and p is not m]
@@ -385,51 +403,52 @@
 
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
-        pace = m.pace
+        ticks, m.faded = (now - m.faded) / self.TICK, now
+        m.others *= 0.93**ticks  # what is not seen fades, so that a shunned machine is tried again
+        m.pace = pace = 1 + (m.pace - 1) * 0.99**ticks
         if m.out:
             oldest = next(iter(m.out.values()))
             pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
         pace *= (1 + m.failing) * (self.AWAY if m.row.zone != self.facts.zone else 1.0)
         return (len(m.out) + m.others + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
 
-    def pick(self, rq: i.Req, now: float, tried: list[Machine], ran: list[Try]) -> Machine | None:
+    SAMPLE = 12  # machines ranked at most: bounds the work, and fronts alike do not all find the same one
+
+    def best(self, side: bool, rq: i.Req, now: float, past: Past) -> Machine | None:
+        """The best of a few drawn machines; of all, resting and tried ones too, where none of these may."""
+        pool = few = self.sides[side]
+        if len(pool) > self.SAMPLE:
+            few = [pool[int(self.random() * len(pool))] for _ in range(self.SAMPLE)]
+        few = [m for m in few if m.ejected_until <= now and all(m is not p for p, _, _ in past)]
+        fit = [m for m in few if self.may_take(m, rq, now, past)]
+        fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
+        return min(fit, key=lambda m: self.expected(m, now) * (1 + 0.05 * self.random()), default=None)
+
+    def pick(self, rq: i.Req, now: float, past: Past) -> Machine | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
-        best: dict[bool, tuple[float, Machine]] = {}
-        fit = [m for m in self.machines.values() if self.may_take(m, rq, now, ran)]
-        if len(fit) > 1:
-            fit = [m for m in fit if m not in tried] or fit
-        healthy = [m for m in fit if m.ejected_until <= now]
-        for m in healthy if len(healthy) * 2 >= len(fit) else fit:
-            trial = self.on_trial(m.row.build)
-            value = self.expected(m, now) * (1 + 0.05 * self.random())
-            if trial not in best or value < best[trial][0]:
-                best[trial] = (value, m)
-        if False not in best:
-            return best[True][1] if True in best else None
-        if True in best and self.credit >= 1:
-            cand, usual = best[True][1], [len(m.out) for m in fit if not self.on_trial(m.row.build)]
-            fronts = self.facts.balancers  # they are taken to send alike
-            peers = 1 + fronts * sum(usual) / len(usual)
-            if 1 + fronts * len(cand.out) <= 1 + self.PUSH * self.warmth(cand, now) * peers:
+        if self.credit >= 1 and (cand := self.best(True, rq, now, past)):
+            usual, fronts = self.sides[False], self.facts.balancers  # they are taken to send alike
+            peers = 1 + fronts * sum(len(m.out) for m in usual) / max(1, len(usual))
+            if not usual or 1 + fronts * len(cand.out) <= 1 + self.PUSH * self.warmth(cand, now) * peers:
                 return cand
-        return best[False][1]
+        return self.best(False, rq, now, past) or self.best(True, rq, now, past)
 
     # Two exceptions to 0.8 of the cap, against a good build that looks slow from load alone: docs/design.md.
     PART = 1.35  # trial machines' part of the tries over their part of the fleet; 1.1 to 1.6 tried
     PUSH = 1.3  # tries on a trial machine over its peers': under the margin
 
-    def earn(self, now: float) -> None:
+    def share_out(self, now: float) -> None:
         """Each req taken earns its part of a try on the trial build, evenly in time."""
-        size, cap = {True: 0.0, False: 1e-9}, 0.0
-        for m in self.machines.values():
-            if m.row.status == Status.IN_SERVICE:
-                trial = self.on_trial(m.row.build)
-                size[trial] += max(m.row.weight, 0.1) * self.warmth(m, now)
-                cap = self.cap(m.row.build)[0] if trial else cap
-        part = min(0.8 * cap, self.PART * size[True] / (size[True] + size[False]))
-        self.credit = min(2.0, self.credit + part) if part else 0.0
+        size, trial = {True: 0.0, False: 1e-9}, self.sides[True]
+        if not trial:
+            self.part, self.credit = 0.0, self.random()  # fronts alike must not all begin at once
+            return
+        for side, machines in self.sides.items():
+            size[side] += sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in machines)
+        cap = self.cap(trial[-1].row.build)[0]
+        self.part = min(0.8 * cap, self.PART * size[True] / (size[True] + size[False]))
 
-    def may_take(self, m: Machine, rq: i.Req, now: float, ran: list[Try]) -> bool:
+    def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
             return False
         if self.on_trial(m.row.build):
@@ -437,22 +456,19 @@
                 return False
         elif m.row.build < self.news.build and rq.key in self.answered:
             return False
-        route = self.facts.routes[rq.route]
+        route, ran = self.facts.routes[rq.route], [p for p in past if p[2]]
         if not ran or route.effect == Effect.RETRIABLE:
             return True
-        if route.effect == Effect.NON_RETRIABLE or now - ran[0].sent >= route.dedup_ms - self.TICK:
+        first, t, _ = ran[0]
+        if route.effect == Effect.NON_RETRIABLE or now - t.sent >= route.dedup_ms - self.TICK:
             return False
-        first = self.machines.get(ran[0].machine)
-        if route.group == i.Group.ALL or first is None:
-            return route.group == i.Group.ALL
-        zone, cell = first.row.zone == m.row.zone, first.row.cell == m.row.cell
-        return zone if route.group == i.Group.ZONE else cell
+        return (True, first.row.zone == m.row.zone, first.row.cell == m.row.cell)[route.group]
 
-    def refuse(self, rq: i.Req, ran: list[Try]) -> i.Shed | i.Fail:
+    def refuse(self, rq: i.Req, past: Past) -> i.Shed | i.Fail:
         """The final answer to a req given up on: a shed reply only where a repeat does no harm."""
         effect, group = self.facts.routes[rq.route].effect, self.facts.routes[rq.route].group
         repeatable = effect == Effect.RETRIABLE or (effect == Effect.DEDUPED and group == i.Group.ALL)
-        if ran and not repeatable:
+        if any(ran for _, _, ran in past) and not repeatable:
             return i.Fail()
         return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
 
@@ -474,59 +490,47 @@
         return worth
 
     def admit(self, rq: i.Req, now: float) -> bool:
-        """Guards against a queue that outlasts the objectives, whatever fills it: the least worthy go first.
-
-        Hurts where latencies are long for a reason that fewer reqs do not cure.
-        """
-        return self.open_tries() < self.limit * (self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now))
-
-    def open_tries(self) -> int:
-        """Tries out on builds not on trial: a trial machine that hangs must not close the door."""
-        return sum(len(m.out) for m in self.machines.values() if not self.apart(m))
+        """Guards against a queue that outlasts the objectives, whatever fills it; least worthy first."""
+        share = self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now)
+        return self.open + self.random() < self.limit * share
 
     def apart(self, m: Machine) -> bool:
-        """Whether a machine is on trial beside a fleet that is not, so that its lateness is its own."""
+        """Whether a machine is on trial beside a fleet that is not: its hanging must not close the door."""
         return self.few_on_trial and self.on_trial(m.row.build)
 
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
-        trial = sum(self.on_trial(m.row.build) for m in self.machines.values())
-        self.few_on_trial = 2 * trial < len(self.machines)
-        out = self.open_tries()
+        self.mean_open += 0.1 * (self.open - self.mean_open)
+        out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.strain *= 0.98  # a jam without answers must not hold the limit down for good
-        for m in self.machines.values():  # what is not seen fades, so that a shunned machine is tried again
-            m.others *= 0.93
-            m.pace += 0.01 * (1 - m.pace)
         if self.strain > self.TARGET:
             excess = min(1.0, self.strain / self.TARGET - 1)
-            self.limit = max(float(len(self.machines)), (1 - 0.15 * excess) * min(self.limit, 1.5 * out))
+            least = len(self.machines) / self.facts.balancers  # one a machine from all fronts together
+            self.limit = max(least, (1 - 0.15 * excess) * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
     def serve(self, rq: i.Req, now: float) -> Serving:
         """One req, from its arrival to its one final answer."""
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
-        self.earn(now)
+        self.credit = min(2.0, self.credit + self.part)
         if not self.admit(rq, now):
             self.refused_at = now
             yield self.refuse(rq, [])
             return
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
-        tried: list[Machine] = []
-        ran: list[Try] = []
+        past: Past = []
         for number in range(self.facts.max_tries):
-            m = self.pick(rq, now, tried, ran)
+            m = self.pick(rq, now, past)
             if m is None or rq.ends_at - now < 1 or (number and self.spare_tries < 1):
                 break
             self.spare_tries -= number > 0
             t = self.sent(rq, m, number, now)
             now, ended = yield i.Send(m.row.machine, rq.ends_at - now)
-            tried.append(m)
-            if ended.end not in i.NEVER_RAN:
-                ran.append(t)
+            past.append((m, t, ended.end not in i.NEVER_RAN))
             if ended.end == End.MOOT:
                 break
-        yield self.refuse(rq, ran)
+        yield self.refuse(rq, past)
 
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
@@ -536,7 +540,7 @@
         self.usual_met += 0.02 * (met - self.usual_met)
         t = Try(m.row.machine, rq.route, now, self.usual[rq.route], judged, rq.key, met)
         m.out[rq.ident, number] = t
-        m.last_sent = now
+        self.open += not self.apart(m)
         m.sent.append((now, t.cost))
         if self.on_trial(m.row.build):
             self.trial_sent[rq.route if self.facts.rollout.by_route else 0].append(now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,4 @@
-from conftest import news, req, row
+from conftest import build_facts, news, req, row
 
 from myrtleroad import choice
 from myrtleroad import interface as i
@@ -22,11 +22,11 @@
 
 
 def test_deduped_stays_in_its_group_and_window(balancer):
-    ran = [choice.Try(0, 1, 0.0, 1.0, False, None, 1.0)]
-    assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, ran)
-    assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, ran)
-    assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, ran)
-    assert balancer.refuse(req(route=1), ran) == i.Fail()
+    past = [(balancer.machines[0], choice.Try(0, 1, 0.0, 1.0, False, None, 1.0), True)]
+    assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, past)
+    assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, past)
+    assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, past)
+    assert balancer.refuse(req(route=1), past) == i.Fail()
 
 
 def test_no_try_after_the_clients_own_time(balancer):
@@ -51,11 +51,38 @@
     cold, balancer.rate = balancer.machines[1], 0.1
     room = 2.0 * balancer.warmth(cold, 1000.0) * 0.1 * 2000.0
     cold.sent.append((950.0, room - 10.0))
-    cold.last_sent = 950.0
+    cold.luck = 1.0
     assert balancer.cold_room(cold, 9.0, 1000.0)
     assert not balancer.cold_room(cold, 11.0, 1000.0)
 
 
+def test_small_fronts_together_keep_a_cold_machines_budget():
+    shares = []
+    for seed in range(200):
+        b = choice.Balancer(build_facts(), seed, 0.0)
+        b.listed(i.Listed(i.ListKind.WHOLE, [row(0, started=900.0)]), 900.0)
+        b.rate = 0.01  # room for a tenth of a try
+        shares.append(b.cold_room(b.machines[0], 10 * 2.0 * 0.3 * 0.01 * 2000.0, 900.0))
+    assert 5 <= sum(shares) <= 40
+
+
+def test_a_large_fleet_is_ranked_by_a_few_machines(balancer, monkeypatch):
+    rows = [row(n) for n in range(200)]
+    balancer.listed(i.Listed(i.ListKind.WHOLE, rows), 0.0)
+    seen = []
+    monkeypatch.setattr(balancer, "expected", lambda m, now: seen.append(m) or 1.0)
+    assert balancer.best(False, req(), 0.0, []) is not None
+    assert len(seen) <= balancer.SAMPLE
+
+
+def test_the_only_fit_machine_of_a_large_fleet_is_found(balancer):
+    rows = [row(n) for n in range(200)]
+    balancer.listed(i.Listed(i.ListKind.WHOLE, rows), 0.0)
+    for n in range(1, 200):
+        balancer.machines[n].row.status = i.Status.DRAINING
+    assert balancer.best(False, req(), 0.0, []).row.machine == 0
+
+
 def test_exposure_counts_tries_in_the_span(balancer):
     balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
     balancer.taken[0].extend([1000.0] * 6)
@@ -95,14 +122,14 @@
     for n in range(9):
         balancer.machines[3].out[n, 0] = choice.Try(3, 0, 0.0, 1.0, False, None, 1.0)
     balancer.limit = 4.0
+    balancer.regroup()
     assert balancer.admit(req(), 0.0)
 
 
 def test_what_is_not_seen_fades(balancer):
     shunned = balancer.machines[0]
-    shunned.others, shunned.pace = 10.0, 3.0
-    for _ in range(100):
-        balancer.adapt()
+    shunned.others, shunned.pace, shunned.faded = 10.0, 3.0, 1.0
+    balancer.expected(shunned, 10_000.0)
     assert shunned.others < 0.1 and shunned.pace < 2.0
 
 
@@ -121,10 +148,10 @@
     balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
     balancer.taken[0].extend([0.0] * 50)
     balancer.credit = 2.0
-    assert balancer.pick(req(), 0.0, [], []).row.machine == 3
+    assert balancer.pick(req(), 0.0, []).row.machine == 3
     for n in range(3):
         balancer.machines[3].out[n, 0] = choice.Try(3, 0, 0.0, 1.0, False, None, 1.0)
-    assert balancer.pick(req(), 0.0, [], []).row.machine != 3
+    assert balancer.pick(req(), 0.0, []).row.machine != 3
 
 
 def test_a_listed_build_is_judged_before_its_news(balancer):
@@ -144,6 +171,7 @@
     balancer.cast(i.Vote(2, i.Verdict.ON, 0), 100.0)
     balancer.stage_news(news(0, 0, end=i.End.MOOT, answers=True), 200.0)
     assert (balancer.stage, balancer.cap(2)) == (1, (0.1, 0))
+    assert balancer.stage_at >= balancer.judge.stage_age  # the stage we knew cannot have been shorter
     balancer.stage_news(news(2, 0, i.Phase.ON_TRIAL, cap=0.1), 300.0)
     assert balancer.stage == 1
 
