Let starved fronts go by the platform's counts; keep connections; lateness per route

Refused connections were blamed on machines and spent the retry budget. In small fronts the strain faded faster than news of lateness came, and one slow route raised it for all. Change: a front with under 20 samples a side asks the platform's counts (halved at each period): errors against the earlier build and against the time before the trial, latencies at margin 2, the worst route left out, p under 0.001. Machines that refuse a connection rest, fronts that are refused stay with machines that still connect, such tries are free of the retry budget. Lateness is kept per route, weighed by how much was seen lately.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -13,15 +13,13 @@
 from random import Random
 
 import numpy as np
-from scipy.special import stdtr
+from scipy.special import ndtr, stdtr
 
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 
 Sample = tuple[float, float, float, float, bool]  # a try's score, covariate, end, tries met; completed?
-MAY_BLAME = (End.ERRORED, End.TIMEOUT, End.RESET)  # endings that a build may have caused
 Past = list[tuple["Machine", "Try", bool]]  # a req's ended tries, and whether each may have run
-Serving = Generator[i.Action, tuple[float, i.Ended | None], None]
 
 
 @dataclass(slots=True)
@@ -44,6 +42,7 @@
     failing: float = 0.0  # share of recent tries that failed
     ejected_until: float = 0.0
     rest: float = 2000.0  # how long it rests when ejected next
+    linked: float = -1e9  # when a connection to it was last known to work
     faded: float = 0.0  # when what is not seen was last faded
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
 
@@ -58,10 +57,7 @@
 
 
 def yuen_cuped(trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, float]:
-    """One-sided p that the trial's mean exceeds margin times the earlier's, and both trimmed means.
-
-    Paper, section 3.3: Y and X trimmed apart, theta pooled (equation 17), degrees of freedom by equation 13.
-    """
+    """One-sided p that the trial's mean exceeds margin times the earlier's, and both means (paper, 3.3)."""
     ((y2, x2), s2, h2), ((y1, x1), s1, h1) = trimmed(trial), trimmed(earlier)
     both, d2, d1 = s2 + s1, s2[0, 0], s1[0, 0]
     theta = both[0, 1] / both[1, 1] if both[1, 1] > 0 else 0.0
@@ -74,8 +70,6 @@
 
 
 class Judge:
-    """The comparison of the build on trial with the earlier one, from this balancer's own tries."""
-
     FLOOR = 20  # samples a side before a test, the design's starting value
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
     SETTLE = 1000.0  # past the soak: about when the platform's own clock for a stage starts (bench page)
@@ -89,12 +83,14 @@
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
         self.last = len(facts.rollout.caps) - 1
+        self.counts = np.zeros((3, len(facts.routes), 3))  # trial, earlier, before; route; tries, errors, ms
+        self.told = False
         self.offer(-1)
 
     def offer(self, build: int) -> None:
-        """A newer build begins its trial: samples start afresh, the baseline is what came before."""
         self.build, self.tested, self.verdict = build, -1, Verdict.NONE
         self.before = list(self.earlier)
+        self.counts[0], self.counts[2] = 0.0, self.counts[1]
         self.earlier.clear()
         self.trial.clear()
         known = all(len(p) >= 5 for p in self.pre)
@@ -106,10 +102,34 @@
         if not on_trial:
             self.pre[route].append(score)
 
+    def count(self, t: i.Tally) -> None:
+        row = self.counts[0 if t.build >= self.build > 0 else 1, t.route]
+        row[:] = 0.5 * row + (t.count, t.errors, (t.count - t.errors) * t.mean_ms)
+        self.told = True
+
+    def counted(self, released: bool) -> float:
+        """p that the counted trial errs more than before or than the earlier build, or is slower than it."""
+        n, e, ms = self.counts[:, (self.counts[..., 0] >= 5).all(axis=0)].transpose(2, 0, 1)
+        p, done = e / n, np.maximum(n - e, 1.0)
+        noise, ratio = (p * (1 - p) + 0.01) / n, ms[0] / done[0] / (ms[1] / done[1] + 1)
+        worse = (p[0] - 1.5 * p[1] - 0.05, noise[0] + 2.25 * noise[1])
+        slower = (ratio - self.LATER, ratio**2 / done[0] + self.LATER**2 / done[1])
+        z = [0.0]
+        for gap, var in [(p[0] - p[2] - 0.1, noise[0] + noise[2]), *([] if released else [worse, slower])]:
+            use = np.argsort(gap)[:-1]  # the worst route may be slow everywhere; latencies are as exponential
+            z.append(float(gap[use] @ n[0, use]) / sqrt(float(var[use] @ n[0, use] ** 2) + 1e-9))
+        return float(ndtr(-max(z)))
+
     LATER = 2.0  # margin against samples of another time: other troubles may have come since
 
     def judge(self, stage: int, age: float, released: bool) -> tuple[Verdict, str]:
         """The vote for this stage, tested once; each stage age after a release counts as a stage."""
+        if self.told and self.build > 0 and min(len(self.trial), len(self.earlier)) < self.FLOOR:
+            # Exception: a front short of samples goes by the platform's counts, the same for all fronts.
+            self.told, p = False, self.counted(released)
+            if p < 0.001 and self.verdict != Verdict.BACK:  # under 0.05 for a day's counts together
+                self.verdict = Verdict.BACK
+                return self.verdict, f"by the platform's counts, p {p:.4f}"
         key = -1 - int(age // self.stage_age) if released else stage
         again = self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
         if self.verdict == Verdict.BACK or age < self.stage_age:
@@ -117,9 +137,8 @@
         if self.tested == key and not again:
             return self.verdict, ""
         self.tested = key
-        # Exception: against the earlier build before the trial, over the tries met as the load may differ.
-        # Guards against a build that slows every machine alike or turns bad after release. Completed tries
-        # only, as errors have many causes. Hurts when most of the fleet slows from another cause just then.
+        # Exception: against the time before the trial, completed tries only, over the tries met: for a build
+        # that slows all machines or turns bad once released. Hurts when they slow from another cause.
         recent = self.scaled(self.trial)[-self.KEEP // 4 :]
         sides = (self.before, self.earlier) if released else (self.before,)
         tests = [self.test(recent, self.scaled(side), self.LATER) for side in sides]
@@ -138,7 +157,6 @@
         return [(x[0] / x[3], 0.0, *x[2:]) for x in side if x[4]]
 
     def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, bool, str]:
-        """p, whether the trial's mean is past the margin, and the figures."""
         views = [(trial, earlier)]
         if 10 * sum(not x[4] for x in earlier) > len(earlier):
             # Exception: where the earlier build errs too, errors are told apart from slowness, or they widen
@@ -167,24 +185,22 @@
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
         self.stage, self.stage_at = 0, now  # as we believe; the cap is as last told
         self.share = [0.25 for _ in facts.routes]  # time over objective per route, builds on trial left out
+        self.seen = [0.0 for _ in facts.routes]  # how many of them lately
         self.usual = [r.objective_ms / 4 for r in facts.routes]  # latency per route, learnt
         kinds = range(len(facts.routes) if facts.rollout.by_route else 1)
         self.taken: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
         self.trial_sent: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
-        self.spare_tries = 5.0  # retry budget
+        self.spare_tries, self.squeeze = 5.0, 0.0  # retry budget; share of tries not connected
         self.done_cost, self.rate, self.rate_at = 0.0, 0.0, now
-        self.vote: i.Vote | None = None
-        self.vote_at, self.vote_ok, self.next_call = -1e9, False, 0.0
+        self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.watch_again = now if facts.list_on_request else float("inf")
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
-        self.usual_met, self.few_on_trial, self.newest, self.mean_open = 2.0, True, 0.0, 0.0
-        self.limit, self.strain, self.refused_at, self.refusing = float("inf"), 0.0, -1e9, False
+        self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
+        self.limit, self.refused_at, self.refusing = float("inf"), -1e9, False
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
-    # --- the list and the stages ---
-
     def listed(self, event: i.Listed, now: float) -> list[i.Action]:
         if event.kind == i.ListKind.FAILED:
             self.watch_again = now + 500 + 1000 * self.random()
@@ -198,32 +214,29 @@
                 self.judge.offer(row.build)  # the list may be quicker than the news
             known = self.machines.get(row.machine)
             if known is None or known.row.started != row.started or known.row.build != row.build:
-                self.machines[row.machine] = Machine(row, self.random(), out=known.out if known else {})
-            else:
-                known.row = row
+                known = self.machines[row.machine] = Machine(row, self.random(), known.out if known else {})
+            known.row = row
         for index in [x for x, m in self.machines.items() if m.row.status == Status.GONE and not m.out]:
             del self.machines[index]
         self.regroup()
         return []
 
     def regroup(self) -> None:
-        """What follows from list and news alone, so that no req has to walk the fleet."""
         self.sides = {False: [], True: []}
         for m in self.machines.values():
             if m.row.status == Status.IN_SERVICE:
                 self.sides[self.on_trial(m.row.build)].append(m)
-        self.few_on_trial = 2 * len(self.sides[True]) < len(self.machines)
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         self.newest = max(starts, default=0.0)
         self.open = sum(len(m.out) for m in self.machines.values() if not self.apart(m))
 
     def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
-        if event.answers_vote and self.vote:
+        if event.answers_vote:
             self.vote_ok = event.end in (End.COMPLETED, End.TIMEOUT)  # a timeout may count
             if event.end == End.MOOT and self.vote == i.Vote(self.news.build, Verdict.ON, self.stage):
                 # Guards against late news: the stage we knew is over, and it had lasted its time.
                 self.stage = min(self.stage + 1, self.judge.last)
-                self.stage_at = min(now, self.stage_at + self.judge.stage_age)
+                self.stage_at = min(now, max(self.stage_at, self.newest) + self.judge.stage_age)
         if event.end != End.COMPLETED:
             self.next_call = now + 500 + 1000 * self.random()
         if event.end != End.COMPLETED or event.build < self.news.build:
@@ -239,17 +252,15 @@
         return []
 
     def on_trial(self, build: int) -> bool:
-        news = self.news
-        return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
+        new, phase = self.news.build, self.news.phase
+        return build > new or (build == new and phase != Phase.RELEASED)
 
     def cap(self, build: int) -> tuple[float, int]:
-        """Share of reqs that may go to this build on trial, and its stage."""
         if build > self.news.build:
             return self.facts.rollout.caps[0], 0
         return (self.news.cap if self.news.phase == Phase.ON_TRIAL else 0.0), self.news.stage
 
     def exposure_room(self, rq: i.Req, build: int, now: float) -> bool:
-        """Whether one more try at this build keeps within the cap in the last span."""
         roll = self.facts.rollout
         cap, stage = self.cap(build)
         retriable = self.facts.routes[rq.route].effect == Effect.RETRIABLE
@@ -266,21 +277,20 @@
                 while times and times[0] < now - self.facts.rollout.span_ms - edge:
                     times.popleft()
 
-    # --- votes ---
-
     def wake(self, now: float) -> list[i.Action]:
         actions: list[i.Action] = [i.WakeAt(now + self.TICK)]
         if now >= self.watch_again:
             self.watch_again = float("inf")
             actions.append(i.Watch())
         self.prune(now)
-        self.learn_rate(now)
+        if now - self.rate_at >= 1000:
+            self.learn_rate(now)
         self.share_out(now)
         self.adapt()
         if (self.refused_at > now - 1000) != self.refusing:
             self.refusing = not self.refusing
-            word, resting = "began" if self.refusing else "ended", self.resting(self.machines.values(), now)
-            actions.append(i.Note(f"refusing {word}: open limit {self.limit:.0f}, {resting} machines rest"))
+            word, rest = "began" if self.refusing else "ended", self.resting(self.machines.values(), now)
+            actions.append(i.Note(f"refusing {word}: open limit {self.limit:.1f}, {rest} machines rest"))
         news = self.news
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
@@ -294,15 +304,12 @@
             actions += self.cast(i.Vote(news.build, verdict, self.stage), now)
         return actions
 
-    BOOT = 8000.0  # the platform's clock waits no longer than this for a stage's machines (bench page)
-
     def stage_age(self, now: float) -> float:
-        """Time since the newest trial machine started; a stage without new ones runs after BOOT."""
+        """Time since the newest trial machine started; the platform waits 8 s for them (bench page)."""
         told = now - self.stage_at
-        return now - self.newest if self.newest > now - told else told - self.BOOT
+        return now - self.newest if self.newest > now - told else told - 8000.0
 
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
-        """Send a vote once; again when it was not taken, or before it lapses."""
         life = 0.7 * self.facts.rollout.vote_life_ms
         if now < self.next_call or (vote == self.vote and self.vote_ok and now - self.vote_at < life):
             return []
@@ -310,12 +317,8 @@
         self.next_call = now + 1000 * self.facts.balancers / self.facts.rollout.calls_per_s
         return [vote]
 
-    # --- health and load ---
-
     def learn_rate(self, now: float) -> None:
-        """Work completed per machine and ms: warm machines bear it, so it is below their capacity."""
-        if now - self.rate_at < 1000:
-            return
+        """Work completed per warm machine and ms, which is below their capacity."""
         size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
         rate = self.done_cost / (now - self.rate_at) / max(size, 1.0)
         self.rate += (rate - self.rate) * (0.2 if self.rate else 1.0)
@@ -323,9 +326,7 @@
 
     def warmth(self, m: Machine, now: float) -> float:
         rules = self.facts.rules
-        if m.row.started <= 0:
-            return 1.0
-        age = max(0.0, now - m.row.started)
+        age = max(0.0, now - m.row.started) if m.row.started > 0 else float("inf")
         return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
 
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
@@ -358,37 +359,39 @@
             seen = ended.took_ms / self.usual[r] / gone.met * self.usual_met
             m.pace += 0.1 * (min(seen, 8.0) - m.pace)
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
-        if (done or ended.end == End.TIMEOUT) and not apart:
-            share = share if done else 1.5
-            self.share[r] += 0.1 * (share - self.share[r])
-            if not self.slow(r):
-                self.strain += 0.08 * (share - self.strain)
-        failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.NOT_CONNECTED, End.TIMEOUT)
+        if (done or ended.end in (End.TIMEOUT, End.FULL)) and not apart:
+            self.share[r] += 0.15 * ((share if done else 1.5) - self.share[r])
+            self.seen[r] += 1
+        refused = ended.end == End.NOT_CONNECTED
+        self.squeeze += 0.05 * (refused - self.squeeze)
+        m.linked = m.linked if refused else now
+        failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.TIMEOUT)
         if failed or done:
             m.failing += 0.2 * (failed - m.failing)
-            m.rest = 2000.0 if m.failing < 0.1 else m.rest
-        if failed and m.failing > self.SICK:
-            self.eject(m, now)
-        if gone.judged and not self.slow(r) and ended.end in (End.COMPLETED, *MAY_BLAME):
+        if refused or (failed and m.failing > 0.45):
+            self.eject(m, now, refused)
+        if gone.judged and not self.slow(r) and (done or (failed and ended.end != End.FULL)):
             score = ended.took_ms if done else route.timeout_ms
             self.judge.take(m.row.build, r, score, gone.met, done, self.on_trial(m.row.build), now)
 
+    def tally(self, event: i.Tally, now: float) -> None:
+        if event.count > 0:
+            self.judge.count(event)
+
     def flagged(self, event: i.Flagged, now: float) -> None:
-        """An answer found wrong counts like another ending: the route timeout."""
         if m := self.machines.get(event.machine):
             score, on_trial = self.facts.routes[event.route].timeout_ms, self.on_trial(m.row.build)
             self.judge.take(m.row.build, event.route, score, 2.0, False, on_trial, now)
 
-    SICK = 0.45  # share of a machine's tries that fail, over what its peers show
-
-    def eject(self, m: Machine, now: float) -> None:
+    def eject(self, m: Machine, now: float, refused: bool) -> None:
         # Guards against sick machines and bad links; what all share (bad reqs, a slow route, a bad build)
         # ejects none, and two fifths stay in use, as they must bear the load. Rests longer each time.
         peers = self.sides[self.on_trial(m.row.build)]
         level = sorted(p.failing for p in peers)[len(peers) // 4] if peers else 1.0
-        if m.failing > self.SICK + level and 5 * self.resting(peers, now) < 3 * len(peers):
+        if refused or (m.failing > 0.45 + level and 5 * self.resting(peers, now) < 3 * len(peers)):
+            m.rest = min(2 * m.rest, 16000.0) if now - m.ejected_until < 8000 else 2000.0
             m.ejected_until = now + m.rest * (1 + 0.5 * self.random())
-            m.failing, m.rest = 0.35, min(2 * m.rest, 16000.0)
+            m.failing = m.failing if refused else 0.35
 
     def slow(self, r: int) -> bool:
         """Whether this route alone is late on every machine: no one's fault, and no queue's."""
@@ -397,10 +400,6 @@
     def resting(self, machines: Iterable[Machine], now: float) -> int:
         return sum(m.ejected_until > now for m in machines)
 
-    # --- routing ---
-
-    AWAY = 1.15  # another zone's machine: taken when a sixth better, as crossing is priced
-
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
@@ -409,7 +408,9 @@
         if m.out:
             oldest = next(iter(m.out.values()))
             pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
-        pace *= (1 + m.failing) * (self.AWAY if m.row.zone != self.facts.zone else 1.0)
+        if now - m.linked > 2000:  # a front that is refused connections stays with those it has
+            pace *= 1 + 20 * self.squeeze
+        pace *= (1 + m.failing) * (1.15 if m.row.zone != self.facts.zone else 1.0)  # crossing is priced
         return (len(m.out) + m.others + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
 
     SAMPLE = 12  # machines ranked at most: bounds the work, and fronts alike do not all find the same one
@@ -439,14 +440,12 @@
 
     def share_out(self, now: float) -> None:
         """Each req taken earns its part of a try on the trial build, evenly in time."""
-        size, trial = {True: 0.0, False: 1e-9}, self.sides[True]
-        if not trial:
+        if not self.sides[True]:
             self.part, self.credit = 0.0, self.random()  # fronts alike must not all begin at once
             return
-        for side, machines in self.sides.items():
-            size[side] += sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in machines)
-        cap = self.cap(trial[-1].row.build)[0]
-        self.part = min(0.8 * cap, self.PART * size[True] / (size[True] + size[False]))
+        size = [sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in x) for x in self.sides.values()]
+        cap = self.cap(self.sides[True][-1].row.build)[0]
+        self.part = min(0.8 * cap, self.PART * size[1] / sum(size))
 
     def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
@@ -473,13 +472,11 @@
         return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
 
     TARGET = 0.45  # mean time over objective that is aimed at: exponential latencies then end 9 in 10 in time
-    RESERVE = 0.7  # share of the limit that is open to the least worthy reqs
 
     def worthy(self, rq: i.Req, now: float) -> float:
         """Benefit per unit of work against the best route's, less where its tenant is over its share."""
         worth = self.density[rq.route] / max(self.density)
-        if self.slow(rq.route):  # it will be late, and holds places that the others need
-            worth *= self.facts.routes[rq.route].late_benefit
+        worth *= self.facts.routes[rq.route].late_benefit if self.slow(rq.route) else 1.0  # it holds places
         if rq.tenant is not None and self.facts.tenants:
             quota = self.facts.tenants[rq.tenant].quota_per_s / self.facts.balancers
             used, at = self.tenant_used[rq.tenant]
@@ -491,49 +488,46 @@
 
     def apart(self, m: Machine) -> bool:
         """Whether a machine is on trial beside a fleet that is not: its hanging must not close the door."""
-        return self.few_on_trial and self.on_trial(m.row.build)
+        return self.on_trial(m.row.build) and len(self.sides[True]) < len(self.sides[False])
 
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
-        self.strain *= 0.98  # a jam without answers must not hold the limit down for good
-        if self.strain > self.TARGET:
-            excess = min(1.0, self.strain / self.TARGET - 1)
+        self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
+        fair = [r for r in range(len(self.seen)) if not self.slow(r)]
+        strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
+        if strain > self.TARGET:
+            excess = min(1.0, strain / self.TARGET - 1)
             least = len(self.machines) / self.facts.balancers  # one a machine from all fronts together
             self.limit = max(least, (1 - 0.15 * excess) * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
-    def serve(self, rq: i.Req, now: float) -> Serving:
-        """One req, from its arrival to its one final answer."""
+    def serve(self, rq: i.Req, now: float) -> Generator[i.Action, tuple[float, i.Ended | None], None]:
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         self.credit = min(2.0, self.credit + self.part)
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
-        if self.open + self.random() >= self.limit * (
-            self.RESERVE + (1 - self.RESERVE) * self.worthy(rq, now)
-        ):
+        if self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now)):
             self.refused_at = now
             yield self.refuse(rq, [])
             return
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
-        past: Past = []
+        past, cost = Past(), 0.0
         for number in range(self.facts.max_tries):
             m = self.pick(rq, now, past)
-            if m is None or rq.ends_at - now < 1 or (number and self.spare_tries < 1):
+            if m is None or rq.ends_at - now < 1 or self.spare_tries < cost:
                 break
-            self.spare_tries -= number > 0
+            self.spare_tries -= cost
             t = self.sent(rq, m, number, now)
             now, ended = yield i.Send(m.row.machine, rq.ends_at - now)
             past.append((m, t, ended.end not in i.NEVER_RAN))
-            if ended.end == End.MOOT:
-                break
+            cost = float(ended.end != End.NOT_CONNECTED)  # which costs the machine little
         yield self.refuse(rq, past)
 
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
-        young = max(Judge.YOUNG, self.facts.rules.cold_ms)
-        judged = m.row.started <= 0 or now - m.row.started >= young
+        judged = m.row.started <= 0 or now - m.row.started >= max(Judge.YOUNG, self.facts.rules.cold_ms)
         met = len(m.out) + m.others + 2
         self.usual_met += 0.02 * (met - self.usual_met)
         t = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -74,8 +74,10 @@
                 self.act(b.stage_news(codec.stage_news(m), now))
             case "BAD_ANSWER":
                 b.flagged(codec.flagged(m, self.machine(m["machine"])), now)
-            case "SCORECARD" | "PROBED" | "DATAGRAM":
-                pass  # the module decides by its own tries alone: it takes no counts, probes or messages
+            case "SCORECARD":
+                b.tally(codec.tally(m), now)
+            case "PROBED" | "DATAGRAM":
+                pass  # the module asks for no probes and sends no messages
             case _:
                 raise codec.WireFault(f"unknown event {cmd!r}")
 
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -123,6 +123,7 @@
     by_route: bool
     guarded_stages: int
     no_return: bool
+    counts_every_ms: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
         by_route=False,
         guarded_stages=0,
         no_return=False,
+        counts_every_ms=2000.0,
     )
     roll.update(changes.pop("roll", {}))
     values = dict(
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,6 +5,7 @@
 from scipy.stats import ttest_ind
 
 from myrtleroad import choice
+from myrtleroad import interface as i
 from myrtleroad.interface import Verdict
 
 
@@ -121,3 +122,46 @@
         for build in (2, 1):
             give(judge, build, 2000.0 if n % 3 == 0 else 100.0 + n % 7, n, ok=n % 3 != 0)
     assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
+
+
+def tell(judge, build, errors, mean=100.0):
+    for route, wrong in enumerate(errors):
+        judge.count(i.Tally(build, route, 40, wrong, mean, 500.0))
+
+
+@pytest.fixture
+def starved():
+    judge = choice.Judge(build_facts())
+    tell(judge, 1, (0, 0, 0))
+    judge.offer(2)
+    return judge
+
+
+def test_a_front_short_of_samples_goes_by_the_platforms_counts(starved):
+    tell(starved, 1, (0, 0, 0))
+    tell(starved, 2, (12, 14, 13))
+    assert starved.judge(0, 0.0, False)[0] == Verdict.BACK
+
+
+def test_counts_of_one_bad_route_or_of_equal_builds_blame_none(starved):
+    tell(starved, 1, (0, 2, 30))
+    tell(starved, 2, (1, 3, 38), mean=140.0)
+    assert starved.judge(0, 0.0, False)[0] == Verdict.NONE
+
+
+def test_counts_of_a_trial_far_slower_send_it_back(starved):
+    tell(starved, 1, (0, 0, 0))
+    tell(starved, 2, (0, 0, 0), mean=350.0)
+    assert starved.judge(0, 0.0, False)[0] == Verdict.BACK
+
+
+def test_counts_after_release_are_held_against_those_before(starved):
+    tell(starved, 2, (20, 20, 20))
+    assert starved.judge(2, 0.0, True)[0] == Verdict.BACK
+
+
+def test_a_front_with_samples_of_its_own_asks_no_counts(starved):
+    fill(starved, 100.0, 100.0)
+    tell(starved, 1, (0, 0, 0))
+    tell(starved, 2, (30, 30, 30))
+    assert starved.judge(0, 0.0, False)[0] == Verdict.NONE
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -194,3 +194,72 @@
     next(balancer.serve(req(), 0.0))
     assert any("began" in a.text for a in balancer.wake(100.0) if isinstance(a, i.Note))
     assert any("ended" in a.text for a in balancer.wake(1200.0) if isinstance(a, i.Note))
+
+
+def end(b, machine, how, number, took=50.0, route=0):
+    """One more try on a machine comes to this end."""
+    b.machines[machine].out[number, 0] = choice.Try(route, 0.0, 1.0, True, None, 2.0)
+    b.open += 1
+    b.observe(number, ended(machine, how, took=took), took)
+
+
+def test_what_all_machines_share_ejects_none(balancer):
+    for n in range(40):
+        end(balancer, n % 3, i.End.ERRORED if n % 2 else i.End.COMPLETED, n)
+    assert not balancer.resting(balancer.machines.values(), 60.0)
+
+
+def test_a_machine_that_fails_apart_rests_longer_each_time(balancer):
+    for n in range(4):
+        end(balancer, 1, i.End.ERRORED, n)
+    first = balancer.machines[1].rest
+    for n in range(4):
+        end(balancer, 1, i.End.ERRORED, n)
+    assert balancer.machines[1].ejected_until > 2000.0
+    assert balancer.machines[1].rest > first
+
+
+def test_a_time_out_within_the_objective_tells_nothing(balancer):
+    for n in range(20):
+        end(balancer, 0, i.End.TIMEOUT, n, took=200.0)
+    assert (balancer.machines[0].failing, sum(balancer.seen), len(balancer.judge.earlier)) == (0.0, 0.0, 0)
+
+
+def test_a_route_that_is_late_alone_counts_neither_for_judge_nor_limit(balancer):
+    balancer.limit = 100.0
+    for n in range(60):
+        end(balancer, n % 3, i.End.COMPLETED, n, took=1500.0 if n % 2 else 80.0, route=n % 2)
+    samples = len(balancer.judge.earlier)
+    balancer.adapt()
+    end(balancer, 0, i.End.COMPLETED, 99, took=1500.0, route=1)
+    assert balancer.slow(1) and not balancer.slow(0)
+    assert balancer.limit >= 100.0 and len(balancer.judge.earlier) == samples
+
+
+def test_a_refused_connection_rests_the_machine_and_blames_nothing(balancer):
+    end(balancer, 0, i.End.NOT_CONNECTED, 1)
+    assert balancer.machines[0].ejected_until > 1000.0
+    assert balancer.machines[0].failing == 0.0 and not balancer.judge.earlier
+
+
+def test_a_front_refused_connections_stays_with_those_it_has(balancer):
+    balancer.squeeze = 0.5
+    balancer.machines[0].linked = 4000.0
+    assert balancer.expected(balancer.machines[0], 5000.0) * 5 < balancer.expected(
+        balancer.machines[1], 5000.0
+    )
+
+
+def test_tries_that_could_not_connect_do_not_spend_the_budget(balancer):
+    balancer.spare_tries = 0.0
+    gen = balancer.serve(req(), 0.0)
+    first = next(gen)
+    assert isinstance(gen.send((50.0, ended(first.machine, i.End.NOT_CONNECTED))), i.Send)
+
+
+def test_a_jam_seen_by_a_small_front_bounds_it(balancer):
+    for n in range(3):
+        end(balancer, n, i.End.TIMEOUT, n, took=900.0)
+    for _ in range(20):
+        balancer.adapt()
+    assert balancer.limit <= 3.0
