Earn trial tries by admitted reqs only; keep slow routes off the trial; sharper counts

Counts of refused connections looked like a drop gone bad after release; leaving out the worst route always cost most of the evidence. Change: credit comes with admission; a slow route's reqs go to no trial machine; a route is left out of the counts only if three times as far off as any other; errors against the time before count beside at least a quarter as clear errors now; after release only for a front half of whose own tries err. Could hurt: where most reqs are refused a trial gets few samples.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -72,13 +72,12 @@
 class Judge:
     FLOOR = 20  # samples a side before a test, the design's starting value
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
-    SETTLE = 1000.0  # past the soak: about when the platform's own clock for a stage starts (bench page)
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
     KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
 
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 / facts.balancers
-        self.stage_age = facts.rollout.soak_ms + self.SETTLE
+        self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
@@ -108,17 +107,25 @@
         self.told = True
 
     def counted(self, released: bool) -> float:
-        """p that the counted trial errs more than before or than the earlier build, or is slower than it."""
-        n, e, ms = self.counts[:, (self.counts[..., 0] >= 5).all(axis=0)].transpose(2, 0, 1)
+        """p that the counted trial is slower or errs more; once released, than before, if our own err too."""
+        known = (self.counts[..., 0] >= 5).all(axis=0)
+        if not known.any():
+            return 1.0
+        n, e, ms = self.counts[:, known].transpose(2, 0, 1)
         p, done = e / n, np.maximum(n - e, 1.0)
         noise, ratio = (p * (1 - p) + 0.01) / n, ms[0] / done[0] / (ms[1] / done[1] + 1)
-        worse = (p[0] - 1.5 * p[1] - 0.05, noise[0] + 2.25 * noise[1])
-        slower = (ratio - self.LATER, ratio**2 / done[0] + self.LATER**2 / done[1])
-        z = [0.0]
-        for gap, var in [(p[0] - p[2] - 0.1, noise[0] + noise[2]), *([] if released else [worse, slower])]:
-            use = np.argsort(gap)[:-1]  # the worst route may be slow everywhere; latencies are as exponential
-            z.append(float(gap[use] @ n[0, use]) / sqrt(float(var[use] @ n[0, use] ** 2) + 1e-9))
-        return float(ndtr(-max(z)))
+
+        def z(gap: np.ndarray, var: np.ndarray) -> float:
+            use = np.argsort(gap)  # one route far worse than any other may be slow everywhere
+            use = use[:-1] if gap[use[-1]] > 3 * max([0.05, *gap[use[:-1]]]) else use
+            return float(gap[use] @ n[0, use]) / sqrt(float(var[use] @ n[0, use] ** 2) + 1e-9)
+
+        later = z(p[0] - p[2] - (0.15 if released else 0.1), noise[0] + noise[2])
+        if released:
+            return float(ndtr(-later)) if 2 * sum(not x[4] for x in self.trial) > len(self.trial) > 4 else 1.0
+        worse = z(p[0] - 1.5 * p[1] - 0.05, noise[0] + 2.25 * noise[1])
+        slower = z(ratio - self.LATER, ratio**2 / done[0] + self.LATER**2 / done[1])
+        return float(ndtr(-max(slower, worse, min(later, 4 * worse))))
 
     LATER = 2.0  # margin against samples of another time: other troubles may have come since
 
@@ -335,10 +342,8 @@
         warmth = self.warmth(m, now)
         while m.sent and m.sent[0][0] <= now - rules.fall_ms:
             m.sent.popleft()
-        if warmth >= 1.0:
-            return True
-        spent = sum(c for _, c in m.sent) + m.luck * cost
-        return spent < rules.overload_factor * warmth * self.rate * rules.fall_ms
+        budget = rules.overload_factor * warmth * self.rate * rules.fall_ms
+        return warmth >= 1.0 or sum(c for _, c in m.sent) + m.luck * cost < budget
 
     def observe(self, ident: int, ended: i.Ended, now: float) -> None:
         m = self.machines.get(ended.machine)
@@ -427,16 +432,15 @@
 
     def pick(self, rq: i.Req, now: float, past: Past) -> Machine | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
-        if self.credit >= 1 and (cand := self.best(True, rq, now, past)):
+        if self.credit >= 1 and not self.slow(rq.route) and (cand := self.best(True, rq, now, past)):
             usual, fronts = self.sides[False], self.facts.balancers  # they are taken to send alike
             peers = 1 + fronts * sum(len(m.out) for m in usual) / max(1, len(usual))
             if not usual or 1 + fronts * len(cand.out) <= 1 + self.PUSH * self.warmth(cand, now) * peers:
                 return cand
         return self.best(False, rq, now, past) or self.best(True, rq, now, past)
 
-    # Two exceptions to 0.8 of the cap, against a good build that looks slow from load alone: docs/design.md.
-    PART = 1.35  # trial machines' part of the tries over their part of the fleet; 1.1 to 1.6 tried
-    PUSH = 1.3  # tries on a trial machine over its peers': under the margin
+    # Exceptions to 0.8 of the cap, against a good build that looks slow from load alone: docs/design.md.
+    PART, PUSH = 1.35, 1.3  # part of the tries over part of the fleet (1.1 to 1.6 tried); under the margin
 
     def share_out(self, now: float) -> None:
         """Each req taken earns its part of a try on the trial build, evenly in time."""
@@ -464,7 +468,6 @@
         return (True, first.row.zone == m.row.zone, first.row.cell == m.row.cell)[route.group]
 
     def refuse(self, rq: i.Req, past: Past) -> i.Shed | i.Fail:
-        """The final answer to a req given up on: a shed reply only where a repeat does no harm."""
         effect, group = self.facts.routes[rq.route].effect, self.facts.routes[rq.route].group
         repeatable = effect == Effect.RETRIABLE or (effect == Effect.DEDUPED and group == i.Group.ALL)
         if any(ran for _, _, ran in past) and not repeatable:
@@ -498,20 +501,19 @@
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
         if strain > self.TARGET:
-            excess = min(1.0, strain / self.TARGET - 1)
-            least = len(self.machines) / self.facts.balancers  # one a machine from all fronts together
-            self.limit = max(least, (1 - 0.15 * excess) * min(self.limit, 1.5 * out))
+            cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
+            self.limit = max(len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
     def serve(self, rq: i.Req, now: float) -> Generator[i.Action, tuple[float, i.Ended | None], None]:
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
-        self.credit = min(2.0, self.credit + self.part)
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
         if self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now)):
             self.refused_at = now
             yield self.refuse(rq, [])
             return
+        self.credit = min(2.0, self.credit + self.part)
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
         past, cost = Past(), 0.0
         for number in range(self.facts.max_tries):
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -157,6 +157,10 @@
 
 def test_counts_after_release_are_held_against_those_before(starved):
     tell(starved, 2, (20, 20, 20))
+    assert starved.judge(2, 0.0, True)[0] == Verdict.NONE  # refused connections of all fronts look so
+    for n in range(5):
+        give(starved, 2, 2000.0, n, ok=n > 2)
+    tell(starved, 2, (20, 20, 20))
     assert starved.judge(2, 0.0, True)[0] == Verdict.BACK
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -263,3 +263,17 @@
     for _ in range(20):
         balancer.adapt()
     assert balancer.limit <= 3.0
+
+
+def test_a_refused_req_earns_no_try_on_the_trial(balancer):
+    balancer.part, balancer.credit, balancer.limit = 0.5, 0.0, 0.0
+    next(balancer.serve(req(), 0.0))
+    assert balancer.credit == 0.0
+
+
+def test_a_slow_route_is_kept_off_the_trial(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.9), 0.0)
+    balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
+    balancer.taken[0].extend([0.0] * 50)
+    balancer.credit, balancer.share = 2.0, [1.5, 0.2, 0.2]
+    assert balancer.pick(req(), 0.0, []).row.machine != 3
