Divide alpha by the fronts over the votes that decide

By Markov's bound the chance that k fronts err together stays at 0.05 with 0.05 k over n each. The design fixes the case of one deciding vote; that is unchanged. Could hurt where fronts share one cause of slowness.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -76,7 +76,7 @@
     KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
 
     def __init__(self, facts: i.Facts):
-        self.alpha = 0.05 / facts.balancers
+        self.alpha = 0.05 * max(1, facts.rollout.back_votes) / facts.balancers  # as many err: 0.05 (Markov)
         self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
