Earn trial tries by refused reqs where load is seen; rests of two to three seconds again

A front that holds more tries than there are earlier machines sees a laden trial machine and holds back by itself; one that holds fewer is blind to it.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -41,7 +41,6 @@
     pace: float = 1.0  # our latencies here over the usual ones of their routes
     failing: float = 0.0  # share of recent tries that failed
     ejected_until: float = 0.0
-    rest: float = 2000.0  # how long it rests when ejected next
     linked: float = -1e9  # when a connection to it was last known to work
     faded: float = 0.0  # when what is not seen was last faded
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
@@ -325,7 +324,6 @@
         return [vote]
 
     def learn_rate(self, now: float) -> None:
-        """Work completed per warm machine and ms, which is below their capacity."""
         size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
         rate = self.done_cost / (now - self.rate_at) / max(size, 1.0)
         self.rate += (rate - self.rate) * (0.2 if self.rate else 1.0)
@@ -390,12 +388,11 @@
 
     def eject(self, m: Machine, now: float, refused: bool) -> None:
         # Guards against sick machines and bad links; what all share (bad reqs, a slow route, a bad build)
-        # ejects none, and two fifths stay in use, as they must bear the load. Rests longer each time.
+        # ejects none, and two fifths stay in use, as they must bear the load.
         peers = self.sides[self.on_trial(m.row.build)]
         level = sorted(p.failing for p in peers)[len(peers) // 4] if peers else 1.0
         if refused or (m.failing > 0.45 + level and 5 * self.resting(peers, now) < 3 * len(peers)):
-            m.rest = min(2 * m.rest, 16000.0) if now - m.ejected_until < 8000 else 2000.0
-            m.ejected_until = now + m.rest * (1 + 0.5 * self.random())
+            m.ejected_until = now + 2000 + 1000 * self.random()
             m.failing = m.failing if refused else 0.35
 
     def slow(self, r: int) -> bool:
@@ -439,8 +436,7 @@
                 return cand
         return self.best(False, rq, now, past) or self.best(True, rq, now, past)
 
-    # Exceptions to 0.8 of the cap, against a good build that looks slow from load alone: docs/design.md.
-    PART, PUSH = 1.35, 1.3  # part of the tries over part of the fleet (1.1 to 1.6 tried); under the margin
+    PART, PUSH = 1.35, 1.3  # bounds on tries over part of the fleet, on load over peers': docs/design.md
 
     def share_out(self, now: float) -> None:
         """Each req taken earns its part of a try on the trial build, evenly in time."""
@@ -509,11 +505,15 @@
     def serve(self, rq: i.Req, now: float) -> Generator[i.Action, tuple[float, i.Ended | None], None]:
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
-        if self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now)):
+        full = self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now))
+        if not full or self.mean_open > len(
+            self.sides[False]
+        ):  # a front that holds less sees no laden machine
+            self.credit = min(2.0, self.credit + self.part)
+        if full:
             self.refused_at = now
             yield self.refuse(rq, [])
             return
-        self.credit = min(2.0, self.credit + self.part)
         self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
         past, cost = Past(), 0.0
         for number in range(self.facts.max_tries):
