--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -276,3 +276,8 @@
     balancer.taken[0].extend([0.0] * 50)
     balancer.credit, balancer.share = 2.0, [1.5, 0.2, 0.2]
     assert balancer.pick(req(), 0.0, []).row.machine != 3
+
+
+def test_counts_of_no_tries_are_ignored(balancer):
+    balancer.tally(i.Tally(9, 0, 0, 0, 0.0, 0.0), 0.0)
+    assert not balancer.judge.told and not balancer.judge.counts.any()
