--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -126,9 +126,9 @@
         slower = z(ratio - self.LATER, ratio**2 / done[0] + self.LATER**2 / done[1])
         return float(ndtr(-max(slower, worse, min(later, 4 * worse))))
 
-    LATER = 2.0  # margin against samples of another time: other troubles may have come since
+    LATER = 2.0  # margin across time, as other troubles may have come since; MARGIN if laden
 
-    def judge(self, stage: int, age: float, released: bool) -> tuple[Verdict, str]:
+    def judge(self, stage: int, age: float, released: bool, laden: bool = False) -> tuple[Verdict, str]:
         """The vote for this stage, tested once; each stage age after a release counts as a stage."""
         if self.told and self.build > 0 and min(len(self.trial), len(self.earlier)) < self.FLOOR:
             # Exception: a front short of samples goes by the platform's counts, the same for all fronts.
@@ -147,7 +147,7 @@
         # that slows all machines or turns bad once released. Hurts when they slow from another cause.
         recent = self.scaled(self.trial)[-self.KEEP // 4 :]
         sides = (self.before, self.earlier) if released else (self.before,)
-        tests = [self.test(recent, self.scaled(side), self.LATER) for side in sides]
+        tests = [self.test(recent, self.scaled(x), self.MARGIN if laden else self.LATER) for x in sides]
         if not released:
             # Over the same time, or a spell that only one window holds counts against its build.
             since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
@@ -302,7 +302,8 @@
             return actions
         released = news.phase == Phase.RELEASED
         age = now - self.stage_at if released else self.stage_age(now)
-        verdict, why = self.judge.judge(self.stage, age, released)
+        laden = self.refusing and self.facts.load_column is not None  # reports tell load from slowness
+        verdict, why = self.judge.judge(self.stage, age, released, laden)
         if why:
             actions.append(i.Note(f"build {news.build} stage {self.stage}: {verdict.name} ({why})"))
         clock = self.facts.rollout.gate == i.Gate.CLOCK  # which knows hold and back, the others on and back
@@ -311,9 +312,8 @@
         return actions
 
     def stage_age(self, now: float) -> float:
-        """Time since the newest trial machine started; the platform waits 8 s for them (bench page)."""
         told = now - self.stage_at
-        return now - self.newest if self.newest > now - told else told - 8000.0
+        return now - self.newest if self.newest > now - told else told - 8000.0  # the longest wait (bench)
 
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
         life = 0.7 * self.facts.rollout.vote_life_ms
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -169,3 +169,11 @@
     tell(starved, 1, (0, 0, 0))
     tell(starved, 2, (30, 30, 30))
     assert starved.judge(0, 0.0, False)[0] == Verdict.NONE
+
+
+def test_a_released_build_is_held_to_the_lower_margin_while_laden(judge):
+    fill(judge, 100.0, 100.0)
+    for n in range(250):
+        give(judge, 2, 180.0 + n % 7, n)
+    assert judge.judge(2, judge.stage_age, True)[0] == Verdict.NONE
+    assert judge.judge(2, 2 * judge.stage_age, True, laden=True)[0] == Verdict.BACK
