--- /dev/null
+++ b/myrtleroad/__main__.py
@@ -0,0 +1,60 @@
+"""The command line: serve, version, check."""
+
+import os
+import sys
+from importlib.metadata import PackageNotFoundError, version
+
+import click
+
+
+@click.group()
+def main() -> None:
+    """myrtleroad, a proxy that tries out new builds on live traffic."""
+
+
+@main.command()
+def serve() -> None:
+    """Run one front, as NODE_CONFIG describes it, until SIGTERM."""
+    # One core is shared: the linear algebra library must not start threads, each with memory of its own.
+    os.environ["OPENBLAS_NUM_THREADS"] = "1"
+    from myrtleroad.net import front, told
+
+    try:
+        told_now = told.read()
+        program = front.Front(told_now)
+    except told.Unclear as fault:
+        sys.exit(f"myrtleroad: {fault}")
+    except OSError as fault:
+        sys.exit(f"myrtleroad: cannot listen: {fault}")
+    program.run()
+
+
+@main.command("version")
+def show_version() -> None:
+    """Print the version."""
+    try:
+        click.echo(version("myrtleroad"))
+    except PackageNotFoundError:
+        from myrtleroad import __version__
+
+        click.echo(__version__)
+
+
+@main.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def check(file: str) -> None:
+    """Decode a configuration and say what a front would be told."""
+    from myrtleroad.net import told
+
+    try:
+        t = told.read(file)
+    except told.Unclear as fault:
+        sys.exit(f"myrtleroad: {fault}")
+    click.echo(
+        f"{t.name}: {len(t.routes)} routes, {len(t.tenants)} tenants, {len(t.known.entries)} machines, "
+        f"build {t.news.build} stage {t.news.stage} {t.news.phase.name.lower()}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/myrtleroad/drill/codec.py
+++ b/myrtleroad/drill/codec.py
@@ -4,15 +4,8 @@
 from typing import Any
 
 from myrtleroad import interface as i
+from myrtleroad.facts import LOAD, NS_PER_MS, ms
 
-NS_PER_MS = 1_000_000
-EFFECTS = {
-    "repeatable": i.Effect.RETRIABLE,
-    "by_key": i.Effect.DEDUPED,
-    "once": i.Effect.NON_RETRIABLE,
-}
-GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
-GATES = {"first_voice": i.Gate.ANY, "by_count": i.Gate.COUNT, "automatic": i.Gate.CLOCK}
 STATUSES = {
     "in_service": i.Status.IN_SERVICE,
     "terminating": i.Status.DRAINING,
@@ -30,10 +23,6 @@
     """The simulator sent something that the wire's page does not know."""
 
 
-def ms(value: int | None) -> float:
-    return (value or 0) / NS_PER_MS
-
-
 def ns(value: float) -> int:
     return int(value * NS_PER_MS)
 
@@ -52,61 +41,6 @@
     return json.dumps(message, separators=(",", ":"))
 
 
-def facts(s: dict[str, Any]) -> i.Facts:
-    rules, roll, limits = s["obligations"], s.get("specifics", {}), s["limits"]
-    columns = s.get("report", {}).get("columns", [])
-    return i.Facts(
-        balancers=s["balancers"],
-        zone=s.get("zone", 0),
-        routes=tuple(
-            i.Route(
-                effect=EFFECTS[lane["effect"]],
-                group=GROUPS[lane.get("group", "all")],
-                dedup_ms=ms(lane.get("dedup_window")),
-                objective_ms=ms(lane["on_time"]),
-                timeout_ms=ms(lane["give_up"]),
-                benefit=lane.get("worth", 1.0),
-                late_benefit=lane.get("late_worth", 0.0),
-            )
-            for lane in s["lanes"]
-        ),
-        tenants=tuple(i.Tenant(t["share"], t["quota_per_s"]) for t in s.get("tenants") or ()),
-        over_share_benefit=s.get("over_share_worth", 1.0),
-        benefit_by_work=s.get("worth_by") == "work",
-        rules=i.Rules(
-            drain_grace_ms=ms(rules["drain_grace"]),
-            cold_ms=ms(rules["cold"]),
-            cold_share=rules["cold_share"],
-            overload_factor=rules["overload_factor"],
-            fall_ms=ms(rules["fall"]),
-            ask_every_ms=ms(rules.get("ask_every")),
-        ),
-        rollout=i.Rollout(
-            gate=GATES[roll.get("gate_mode", "by_count")],
-            on_votes=roll.get("votes_to_go", 1),
-            back_votes=roll.get("noes_needed", 1),
-            vote_life_ms=ms(roll.get("vote_life")),
-            answer_wait_ms=ms(roll.get("answer_wait")),
-            calls_per_s=roll.get("calls_per_s", 1.0),
-            soak_ms=ms(roll.get("soak")),
-            caps=tuple(roll.get("stage_cap") or (0.0,)),
-            span_ms=ms(roll.get("span")),
-            free=roll.get("free", 0.0),
-            by_route=roll.get("counts") == "each_class",
-            guarded_stages=roll.get("guarded_stages", 0),
-            no_return=bool(roll.get("no_return")),
-            counts_every_ms=ms(roll.get("sums_every")),
-        ),
-        list_on_request=s.get("registry_mode") == "on_request",
-        max_tries=limits["max_attempts"],
-        second_copies=limits["second_copies"],
-        come_back=limits["retry_after"],
-        max_come_back_ms=ms(limits.get("max_retry_after")),
-        weights_mean_size=s.get("weight_kind") in ("nominal", "rough"),
-        load_column=columns.index("active") if "active" in columns else None,
-    )
-
-
 def row(e: dict[str, Any], machine: int) -> i.Row:
     return i.Row(
         machine=machine,
@@ -121,7 +55,7 @@
 
 
 def load(m: dict[str, Any]) -> float | None:
-    return (m.get("usage") or {}).get("active")
+    return (m.get("usage") or {}).get(LOAD)
 
 
 def req(m: dict[str, Any], now: float) -> i.Req:
--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -1,23 +1,15 @@
 """Instances of the decision module: their reqs (generators), ids and timers. Nothing is decided here."""
 
-from collections.abc import Generator, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.drill import codec
+from myrtleroad.facts import facts
+from myrtleroad.life import Life
 
 WAKE = 0  # the cookie of the module's own wake-up; those above it belong to reqs
-FRESH = -1  # a generator not yet begun
-
-
-class Held:
-    """One open req: its generator and the timer that its patience runs on."""
-
-    __slots__ = ("cookie", "gen", "job")
-
-    def __init__(self, job: int, gen: Generator[i.Action, tuple[float, i.Ended | None], None]):
-        self.job, self.gen, self.cookie = job, gen, FRESH
 
 
 class Instance:
@@ -25,11 +17,11 @@
 
     def __init__(self, number: int, settings: dict[str, Any], seed: int, now: float):
         self.number = number
-        self.balancer = choice.Balancer(codec.facts(settings), seed, now)
+        self.balancer = choice.Balancer(facts(settings), seed, now)
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
         self.words: list[str] = []
-        self.held: dict[int, Held] = {}  # emptied as each req ends
-        self.cookies: dict[int, Held] = {}  # emptied as each timer rings
+        self.held: dict[int, Life] = {}  # emptied as each req ends
+        self.cookies: dict[int, tuple[Life, int]] = {}  # emptied as each timer rings
         self.next_cookie = WAKE + 1
         self.out: list[dict[str, Any]] = []
 
@@ -43,8 +35,8 @@
         b = self.balancer
         match cmd:
             case "ACCEPT":
-                held = Held(m["job"], b.serve(codec.req(m, now), now))
-                self.held[held.job] = held
+                held = Life(m["job"], b.serve(codec.req(m, now), now))
+                self.held[held.ident] = held
                 self.resume(held, None, now)
             case "CLOSED_ATTEMPT":
                 ended = codec.ended(m, self.machine(m["machine"]))
@@ -57,14 +49,16 @@
             case "RING":
                 if m["cookie"] == WAKE:
                     self.act(b.wake(now))
-                elif (held := self.cookies.pop(m["cookie"], None)) and held.cookie == m["cookie"]:
-                    self.resume(held, None, now)
+                elif mark := self.cookies.pop(m["cookie"], None):
+                    held, wait = mark
+                    if held.wait == wait:
+                        self.resume(held, None, now)
             case "CANCELLED_BY_CLIENT":
                 if held := self.held.get(m["job"]):
                     self.drop(held)
             case "ACCEPTED":
                 if held := self.held.get(m["job"]):
-                    held.cookie = None  # the stream has begun: patience no longer runs
+                    held.calm()  # the stream has begun
             case "DISCOVERY":
                 kind = codec.LISTS[m["kind"]]
                 entries = () if kind == i.ListKind.FAILED else lists[m.get("ref", 0)]
@@ -81,10 +75,9 @@
             case _:
                 raise codec.WireFault(f"unknown event {cmd!r}")
 
-    def drop(self, held: Held) -> None:
-        held.gen.close()
-        held.cookie = None
-        del self.held[held.job]
+    def drop(self, held: Life) -> None:
+        held.end()
+        del self.held[held.ident]
 
     def act(self, actions: Iterable[i.Action]) -> None:
         for a in actions:
@@ -95,27 +88,16 @@
         message["front_id"] = self.number
         self.out.append(message)
 
-    def resume(self, held: Held, result: i.Ended | None, now: float) -> None:
-        fresh = held.cookie == FRESH
-        held.cookie = None
-        while True:
-            try:
-                act = next(held.gen) if fresh else held.gen.send((now, result))
-            except StopIteration:
-                del self.held[held.job]
-                return
-            result, fresh = None, False
-            if not isinstance(act, i.Await):
-                word = self.words[act.machine] if isinstance(act, i.Send) else None
-                self.put(codec.action(act, word, held.job))
-            if isinstance(act, i.Send | i.Await):
-                if act.patience_ms is not None:
-                    held.cookie = cookie = self.next_cookie
-                    self.next_cookie += 1
-                    self.cookies[cookie] = held
-                    wake = i.WakeAt(now + act.patience_ms)
-                    self.put(codec.action(wake, None, None, cookie))
-                return
+    def resume(self, held: Life, result: i.Ended | None, now: float) -> None:
+        for act in held.resume(result, now):
+            word = self.words[act.machine] if isinstance(act, i.Send) else None
+            self.put(codec.action(act, word, held.ident))
+        if held.over:
+            del self.held[held.ident]
+        elif held.patience is not None:
+            self.cookies[self.next_cookie] = (held, held.wait)
+            self.put(codec.action(i.WakeAt(now + held.patience), None, None, self.next_cookie))
+            self.next_cookie += 1
 
 
 class Host:
--- /dev/null
+++ b/myrtleroad/net/__init__.py
@@ -0,0 +1,1 @@
+"""The front on real sockets. It carries out and reports; every decision is the module's."""
--- /dev/null
+++ b/myrtleroad/net/brain.py
@@ -0,0 +1,239 @@
+"""The actor that owns the decision module. Whatever happens reaches the module through its mailbox."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+from gevent.queue import Empty, SimpleQueue
+
+from myrtleroad import choice
+from myrtleroad import interface as i
+from myrtleroad.life import Life
+from myrtleroad.net import reply
+from myrtleroad.net.head import Message
+from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, TryEnded
+from myrtleroad.net.told import Listing, Told
+
+WAKE = None  # the timer of the module's own wake-up; others belong to a req
+
+
+@dataclass(slots=True)
+class Taken:
+    rq: i.Req
+    message: Message
+    at: float
+    answer: Callable[[reply.Reply], None]
+
+
+@dataclass(slots=True)
+class Gone:
+    ident: int
+
+
+@dataclass(slots=True)
+class Lost:
+    """The watch on the list has ended or could not begin."""
+
+
+@dataclass(slots=True)
+class Open:
+    """One open req: its life in the module, and whom its answer is for."""
+
+    life: Life
+    taken: Taken
+    tries: int = 0
+
+
+class Brain:
+    def __init__(self, told: Told, clock, counters, log):
+        self.told, self.clock, self.counters, self.log = told, clock, counters, log
+        self.mailbox: SimpleQueue = SimpleQueue()
+        self.balancer = choice.Balancer(told.facts, told.seed, clock())
+        self.open: dict[int, Open] = {}  # emptied as each req ends
+        self.timers: list[tuple[float, int, Life | None, int]] = []  # emptied as each timer rings
+        self.timer_no = 0
+        self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
+        self.machines: dict[int, Machine] = {}  # emptied as machines leave the list
+        self.places: dict[int, tuple] = {}  # address and start of each, emptied with them
+        self.watch: Callable[[i.Action], None] = lambda act: None
+        self.vote: Callable[[i.Vote], None] = lambda act: None
+
+    def run(self) -> None:
+        now = self.clock()
+        self.guard("start", self.start, now)
+        while True:
+            wait = (self.timers[0][0] - self.clock()) / 1000 if self.timers else 1.0
+            message = None
+            if wait > 0:
+                try:
+                    message = self.mailbox.get(timeout=wait)
+                except Empty:
+                    pass
+            elif not self.mailbox.empty():
+                message = self.mailbox.get()
+            if message is not None:
+                self.take(message, self.clock())
+            self.ring(self.clock())
+
+    def start(self, now: float) -> None:
+        self.act(self.balancer.wake(now), now)
+        self.listed(self.told.known, now)
+        self.act(self.balancer.stage_news(self.told.news, now), now)
+
+    def guard(self, event: str, call: Callable, *args) -> bool:
+        """Faults of the module stop here: logged with their event, counted, and the front goes on."""
+        try:
+            call(*args)
+            return True
+        except Exception as error:
+            self.counters.add("faults")
+            self.log("fault", during=event, error=f"{type(error).__name__}: {error}")
+            return False
+
+    def take(self, message: object, now: float) -> None:
+        match message:
+            case Taken():
+                self.counters.high("longest_delay_ms", now - message.at)
+                self.taken(message, now)
+            case TryEnded():
+                self.ended(message, now)
+            case Gone(ident):
+                if held := self.open.pop(ident, None):
+                    held.life.end()
+                    self.counters.add("reqs_gone")
+            case Listing():
+                self.counters.add("lists")
+                self.guard("list", self.listed, message, now)
+            case Lost():
+                self.counters.add("lists_lost")
+                event = i.Listed(i.ListKind.FAILED)
+                self.guard("list lost", lambda: self.act(self.balancer.listed(event, now), now))
+            case i.StageNews():
+                self.counters.add("stage_news")
+                self.guard("news", lambda: self.act(self.balancer.stage_news(message, now), now))
+
+    def ring(self, now: float) -> None:
+        while self.timers and self.timers[0][0] <= now:
+            due, _, life, wait = heapq.heappop(self.timers)
+            self.counters.high("latest_timer_ms", now - due)
+            if life is WAKE:
+                if not self.guard("wake", lambda: self.act(self.balancer.wake(now), now)):
+                    self.set_timer(now + 100.0, WAKE, 0)  # a fault must not end the module's clock
+            elif life.wait == wait and life.ident in self.open:
+                self.resume(self.open[life.ident], None, now)
+
+    def set_timer(self, at: float, life: Life | None, wait: int) -> None:
+        self.timer_no += 1
+        heapq.heappush(self.timers, (at, self.timer_no, life, wait))
+
+    def taken(self, message: Taken, now: float) -> None:
+        rq = message.rq
+        self.counters.add("reqs_taken")
+        held = Open(Life(rq.ident, self.balancer.serve(rq, now)), message)
+        self.open[rq.ident] = held
+        self.resume(held, None, now)
+
+    def ended(self, message: TryEnded, now: float) -> None:
+        job = message.job
+        held = self.open.get(job.ident)
+        done = message.end == i.End.COMPLETED
+        load = self.load(message)
+        ended = i.Ended(job.machine, job.try_no, message.end, message.took_ms, load, held is None or done)
+        self.guard("try ended", self.balancer.observe, job.ident, ended, now)
+        if held and done:
+            held.life.end()
+            self.answer(held, reply.completed(message.result))
+        elif held:
+            self.resume(held, ended, now)
+
+    def load(self, message: TryEnded) -> float | None:
+        return None
+
+    def resume(self, held: Open, ended: i.Ended | None, now: float) -> None:
+        try:
+            for act in held.life.resume(ended, now):
+                self.carry_out(held, act, now)
+        except Exception as error:
+            self.counters.add("faults")
+            self.log("fault", during="req", error=f"{type(error).__name__}: {error}")
+            held.life.end()
+        if held.life.over:
+            if held.life.ident in self.open:
+                self.answer(held, reply.errored())
+        elif held.life.patience is not None:
+            self.set_timer(now + held.life.patience, held.life, held.life.wait)
+
+    def carry_out(self, held: Open, act: i.Action, now: float) -> None:
+        match act:
+            case i.Send():
+                self.send(held, act, now)
+            case i.Shed():
+                self.answer(held, reply.shed(act.come_back_ms))
+            case i.Fail():
+                self.answer(held, reply.errored())
+            case i.Cancel():
+                for machine in self.machines.values():
+                    machine.mailbox.put(CallOff(held.life.ident, act.try_no))
+            case _:
+                raise TypeError(f"no action of a req: {act!r}")
+
+    def send(self, held: Open, act: i.Send, now: float) -> None:
+        row = self.balancer.machines[act.machine].row
+        ends_at = min(now + act.timeout_ms, held.taken.rq.ends_at)
+        ticket = (row.build, row.started, self.cap(row.build))
+        job = Job(held.life.ident, held.tries, act.machine, held.taken.message, now, ends_at, ticket)
+        held.tries += 1
+        self.counters.add("tries")
+        self.machines[act.machine].mailbox.put(Go(job))
+
+    def cap(self, build: int) -> float:
+        return self.balancer.cap(build)[0] if self.balancer.on_trial(build) else float("inf")
+
+    def stands(self, job: Job) -> bool:
+        """Whether what the list and the news said when the module chose the machine still holds."""
+        known = self.balancer.machines.get(job.machine)
+        if known is None or known.row.status != i.Status.IN_SERVICE:
+            return False
+        build, started, cap = job.ticket
+        return (known.row.build, known.row.started) == (build, started) and self.cap(build) >= cap
+
+    def answer(self, held: Open, final: reply.Reply) -> None:
+        if self.open.pop(held.life.ident, None):
+            self.counters.add(f"reqs_{final.kind}")
+            held.taken.answer(final)
+
+    def act(self, actions: Iterable[i.Action], now: float) -> None:
+        for act in actions:
+            match act:
+                case i.WakeAt(at):
+                    self.set_timer(at, WAKE, 0)
+                case i.Watch():
+                    self.watch(act)
+                case i.Vote():
+                    self.counters.add("votes")
+                    self.log("vote", build=act.build, verdict=act.verdict.name, stage=act.stage)
+                    self.vote(act)
+                case i.Note(text):
+                    self.log("note", text=text)
+                case _:
+                    raise TypeError(f"not carried out here: {act!r}")
+
+    def listed(self, listing: Listing, now: float) -> None:
+        """The list reaches the module and the machines' actors before any send that follows it."""
+        for e in listing.entries:
+            number = self.index.setdefault(e.word, len(self.index))
+            e.row.machine = number
+            place = (e.address, e.row.started)
+            if number not in self.machines:
+                args = (self.told, self.clock, self.counters, self.mailbox.put, self.stands)
+                actor = self.machines[number] = Machine(e.address, *args)
+                gevent.spawn(actor.run)
+            elif self.places[number] != place:
+                self.machines[number].mailbox.put(Moved(e.address))
+            self.places[number] = place
+        rows = [e.row for e in listing.entries]
+        self.act(self.balancer.listed(i.Listed(listing.kind, rows), now), now)
+        for number in [n for n in self.machines if n not in self.balancer.machines]:
+            self.machines.pop(number).mailbox.put(Leave())
+            del self.places[number]
--- /dev/null
+++ b/myrtleroad/net/ending.py
@@ -0,0 +1,59 @@
+"""How an exchange with a peer ended: errors as values that carry how far it had come."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
+
+from myrtleroad import interface as i
+
+
+class Reach(IntEnum):
+    """How far an exchange had come when it broke."""
+
+    NOT_CONNECTED = 0
+    CONNECTED = 1  # and the last byte not written
+    WRITTEN = 2  # every byte written, nothing come back
+    BEGUN = 3  # the answer begun and not whole
+
+
+class Cause(StrEnum):
+    REFUSED = "refused"  # by the other side or by our own system (no descriptor left)
+    TIMEOUT = "timeout"  # we stopped waiting
+    ENDED = "ended"  # the other side closed or reset
+    UNREADABLE = "unreadable"  # what came was not HTTP
+    CANCELLED = "cancelled"  # called off by the module
+    WITHDRAWN = "withdrawn"  # the list or the news forbade it just before it was written
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    reach: Reach
+    cause: Cause
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    keep: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        return next((v for n, v in self.headers if n.lower() == name), None)
+
+
+def of_try(result: Answer | Broken) -> i.End:
+    """What a try's result says; only an ending of ``interface.NEVER_RAN`` says that it cannot have run."""
+    if isinstance(result, Answer):
+        if result.status == 200:
+            return i.End.COMPLETED
+        away = result.status in (503, 504) and result.header(b"x-turned-away") == b"1"
+        return i.End.FULL if away else i.End.ERRORED
+    if result.cause == Cause.WITHDRAWN:
+        return i.End.MOOT
+    if result.reach < Reach.WRITTEN:
+        # A machine begins a req once its last byte has arrived, and that byte was never written.
+        return i.End.NOT_CONNECTED
+    if result.cause == Cause.TIMEOUT:
+        return i.End.TIMEOUT
+    return i.End.CANCELLED if result.cause == Cause.CANCELLED else i.End.RESET
--- /dev/null
+++ b/myrtleroad/net/log.py
@@ -0,0 +1,48 @@
+"""The log: one JSON line an event, written by a greenlet of its own so that no req waits for it."""
+
+import os
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+import orjson
+from gevent.event import Event
+from gevent.os import make_nonblocking, nb_write
+
+
+class Log:
+    KEPT = 1000  # lines that wait for a slow reader; later ones are dropped and counted
+
+    def __init__(self, clock: Callable[[], float], fd: int = 1):
+        self.clock, self.fd = clock, fd
+        self.lines: deque[bytes] = deque()  # emptied by the writer
+        self.dropped = 0
+        self.some = Event()
+        make_nonblocking(fd)
+
+    def __call__(self, event: str, **fields: object) -> None:
+        if len(self.lines) >= self.KEPT:
+            self.dropped += 1
+            return
+        line = {"at_ms": round(self.clock(), 1), "event": event, **fields}
+        self.lines.append(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE, default=str))
+        self.some.set()
+
+    def run(self) -> None:
+        while True:
+            self.some.wait()
+            self.some.clear()
+            while self.lines:
+                line = self.lines.popleft()
+                while line:
+                    line = line[nb_write(self.fd, line) :]
+
+    def flush(self) -> None:
+        """At exit: what still waits, as far as the reader takes it within a moment."""
+        with gevent.Timeout(0.5, False):
+            while self.lines:
+                nb_write(self.fd, self.lines.popleft())
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
--- /dev/null
+++ b/myrtleroad/net/machine.py
@@ -0,0 +1,216 @@
+"""The actor of one machine: its connections and the upstream tries on them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+from gevent.queue import Empty, SimpleQueue
+
+from myrtleroad import interface as i
+from myrtleroad.net import head
+from myrtleroad.net.ending import Answer, Broken, Cause, Reach, of_try
+from myrtleroad.net.told import Address
+
+SWEEP_S = 1.0  # how often idle connections are looked over
+SPARE_MS = 1000.0  # idle connections are given back this much before the machine would close them
+
+
+@dataclass(slots=True)
+class Job:
+    """One upstream try, as the module asked for it."""
+
+    ident: int
+    try_no: int
+    machine: int
+    message: head.Message
+    sent: float  # when the module decided
+    ends_at: float  # when we stop waiting
+    ticket: tuple[float, ...]  # what the list and the news said then
+
+
+@dataclass(slots=True)
+class TryEnded:
+    job: Job
+    end: i.End
+    took_ms: float
+    result: Answer | Broken
+
+
+@dataclass(slots=True)
+class Go:
+    job: Job
+
+
+@dataclass(slots=True)
+class CallOff:
+    ident: int
+    try_no: int
+
+
+@dataclass(slots=True)
+class Moved:
+    """The list gives the machine another address, or another start."""
+
+    address: Address
+
+
+@dataclass(slots=True)
+class Leave:
+    """The machine has left the list: give back its idle connections and end."""
+
+
+class Link:
+    """One connection to a machine. Whoever holds it, the actor or one try, is its only user."""
+
+    __slots__ = ("answers", "free_at", "sock")
+
+    def __init__(self, sock: socket.socket):
+        self.sock, self.answers, self.free_at = sock, head.Answers(), 0.0
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class Machine:
+    def __init__(self, at: Address, told, clock, counters, deliver: Callable[[TryEnded], None], stands):
+        self.at, self.clock, self.counters = at, clock, counters
+        self.connect_ms, self.idle_ms = told.connect_ms, told.idle_ms
+        self.deliver, self.stands = deliver, stands
+        self.mailbox: SimpleQueue = SimpleQueue()
+        self.idle: list[Link] = []  # last used last; emptied by age and as the machine closes
+        self.out: dict[tuple[int, int], gevent.Greenlet] = {}  # emptied by each try's end
+        self.gone = False
+
+    def run(self) -> None:
+        while not (self.gone and not self.out):
+            try:
+                message = self.mailbox.get(timeout=SWEEP_S if self.idle else None)
+            except Empty:
+                self.sweep()
+                continue
+            match message:
+                case Go(job):
+                    self.out[job.ident, job.try_no] = gevent.spawn(self.attempt, job, self.take())
+                case (Job() as job, link):
+                    self.out.pop((job.ident, job.try_no), None)
+                    if link is not None:
+                        self.keep(link)
+                case CallOff(ident, try_no):
+                    if running := self.out.get((ident, try_no)):
+                        running.kill(block=False)
+                case Moved(at):
+                    self.at = at
+                    self.drop_idle()
+                case Leave():
+                    self.gone = True
+                    self.drop_idle()
+
+    def take(self) -> Link | None:
+        """The idle connection used last, of those that still stand."""
+        while self.idle:
+            link = self.idle.pop()
+            if self.clock() - link.free_at < self.idle_ms - SPARE_MS and not head.closed(link.sock):
+                return link
+            link.close()
+        return None
+
+    def keep(self, link: Link) -> None:
+        if self.gone or link.sock.getpeername() != self.at:
+            link.close()
+            return
+        link.free_at = self.clock()
+        self.idle.append(link)
+
+    def sweep(self) -> None:
+        old, now = self.idle, self.clock()
+        self.idle = []
+        for link in old:
+            if now - link.free_at < self.idle_ms - SPARE_MS and not head.closed(link.sock):
+                self.idle.append(link)
+            else:
+                link.close()
+
+    def drop_idle(self) -> None:
+        for link in self.idle:
+            link.close()
+        self.idle = []
+
+    def attempt(self, job: Job, link: Link | None) -> None:
+        """One try, sent exactly once; its one ending goes to the module whatever happens."""
+        result: Answer | Broken = Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
+        kept = None
+        try:
+            opened = link or self.connect(job)
+            if isinstance(opened, Broken):
+                result = opened
+            else:
+                link = opened
+                result = self.exchange(job, link)
+                if isinstance(result, Answer) and result.keep:
+                    kept = link
+                elif isinstance(result, Broken) and result.cause == Cause.WITHDRAWN:
+                    kept = link
+        finally:
+            if link is not None and kept is None:
+                link.close()
+            end = of_try(result)
+            self.counters.add(f"tries_{end.name.lower()}")
+            self.deliver(TryEnded(job, end, self.clock() - job.sent, result))
+            self.mailbox.put((job, kept))
+
+    def connect(self, job: Job) -> Link | Broken:
+        left = min(self.connect_ms, job.ends_at - self.clock()) / 1000
+        if left <= 0:
+            return Broken(Reach.NOT_CONNECTED, Cause.TIMEOUT)
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(left)
+            sock.connect(self.at)
+        except OSError as error:
+            if sock is not None:
+                sock.close()
+            cause = Cause.TIMEOUT if isinstance(error, TimeoutError) else Cause.REFUSED
+            return Broken(Reach.NOT_CONNECTED, cause, str(error))
+        except gevent.GreenletExit:
+            sock.close()
+            return Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
+        self.counters.add("machine_connections")
+        return Link(sock)
+
+    def exchange(self, job: Job, link: Link) -> Answer | Broken:
+        reach, sock = Reach.CONNECTED, link.sock
+        try:
+            # Guards against a machine that drained, restarted or moved, or a cap that fell, while the
+            # connection was coming up: what the module decided on no longer holds.
+            if not self.stands(job):
+                return Broken(reach, Cause.WITHDRAWN)
+            left = job.ends_at - self.clock()
+            if left < 1:
+                return Broken(reach, Cause.TIMEOUT)
+            sock.settimeout(left / 1000)
+            head.write(sock, head.forwarded(job.message, int(left)))
+            reach = Reach.WRITTEN
+            answers = link.answers
+            answers.reset()
+            while not answers.complete:
+                left = job.ends_at - self.clock()
+                if left <= 0:
+                    return Broken(reach, Cause.TIMEOUT)
+                sock.settimeout(left / 1000)
+                data = head.read(sock)
+                if not data:
+                    return Broken(reach, Cause.ENDED)
+                reach = Reach.BEGUN
+                answers.feed(data)
+            return answers.answer
+        except TimeoutError:
+            return Broken(reach, Cause.TIMEOUT)
+        except head.Unfit:
+            return Broken(reach, Cause.UNREADABLE)
+        except OSError as error:
+            return Broken(reach, Cause.ENDED, str(error))
+        except gevent.GreenletExit:
+            return Broken(reach, Cause.CANCELLED)
--- /dev/null
+++ b/myrtleroad/net/reply.py
@@ -0,0 +1,46 @@
+"""The final answers that a client gets."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from myrtleroad.net.ending import Answer
+from myrtleroad.net.head import HOP
+
+OURS = HOP | {b"x-pressure", b"x-turned-away"}  # between machines and us, not the client's affair
+
+
+@dataclass(slots=True)
+class Reply:
+    kind: str  # for the counters
+    status: int
+    head: list[bytes]
+    body: list[bytes]
+
+    def parts(self, close: bool) -> list[bytes]:
+        size = sum(map(len, self.body))
+        line = b"HTTP/1.1 %d %s\r\n" % (self.status, HTTPStatus(self.status).phrase.encode())
+        end = b"Connection: close\r\n\r\n" if close else b"\r\n"
+        return [line, *self.head, b"Content-Length: %d\r\n" % size, end, *self.body]
+
+
+def completed(answer: Answer) -> Reply:
+    head = [n + b": " + v + b"\r\n" for n, v in answer.headers if n.lower() not in OURS]
+    return Reply("completed", 200, head, answer.body)
+
+
+def shed(come_back_ms: float) -> Reply:
+    head = [b"Retry-After: %.3f\r\n" % (come_back_ms / 1000)] if come_back_ms > 0 else []
+    return Reply("shed", 503, head, [])
+
+
+def errored() -> Reply:
+    return Reply("errored", 502, [], [])
+
+
+def unfit(status: int) -> Reply:
+    """Bad input, told once; never with a status that says a repeat is harmless."""
+    return Reply(f"unfit_{status}", status, [], [])
+
+
+def ready(is_ready: bool) -> Reply:
+    return Reply("ready" if is_ready else "not_ready", 200 if is_ready else 503, [], [])
--- /dev/null
+++ b/myrtleroad/net/roster.py
@@ -0,0 +1,69 @@
+"""The discovery actor: watches the list of machines and passes on what it says."""
+
+from collections.abc import Callable
+
+import orjson
+from gevent import socket
+from gevent.queue import SimpleQueue
+
+from myrtleroad import interface as i
+from myrtleroad.net import head
+from myrtleroad.net.brain import Lost
+from myrtleroad.net.told import Told, listing
+
+SILENT_S = 4.5  # an empty line comes every 2 s: two have been missed, with some room
+
+
+class Roster:
+    def __init__(self, told: Told, counters, log, deliver: Callable[[object], None]):
+        self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
+        self.mailbox: SimpleQueue = SimpleQueue()
+        self.version = told.known.version
+        self.answered = False  # whether the first watch has answered or failed
+        self.rest = b""  # of a line that has not ended yet
+
+    def run(self) -> None:
+        while True:
+            act = self.mailbox.get()
+            if isinstance(act, i.Watch) and act.on:
+                why = self.watch()
+                self.counters.add("watches_ended")
+                self.log("list lost", why=why)
+                self.answered = True
+                self.deliver(Lost())
+
+    def watch(self) -> str:
+        """One watch, from its call to its end; says how it ended."""
+        sock = None
+        self.rest = b""
+        try:
+            sock = socket.create_connection(self.told.discovery, SILENT_S)
+            target = f"/api/targets?watch=1&after={self.version}"
+            head.write(sock, head.call("GET", target, "%s:%d" % self.told.discovery))
+            answers = head.Answers()
+            while not answers.complete:
+                data = head.read(sock)
+                if not data:
+                    return "ended"
+                answers.feed(data)
+                if answers.answer.status not in (0, 200):
+                    return f"status {answers.answer.status}"
+                chunks, answers.answer.body = answers.answer.body, []
+                for chunk in chunks:
+                    self.take(chunk)
+            return "ended"
+        except (OSError, head.Unfit, ValueError, KeyError, TypeError) as error:
+            return f"{type(error).__name__}: {error}"
+        finally:
+            if sock is not None:
+                sock.close()
+
+    def take(self, chunk: bytes) -> None:
+        """Lines may be split anywhere."""
+        *lines, self.rest = (self.rest + chunk).split(b"\n")
+        for line in lines:
+            if line.strip():
+                got = listing(orjson.loads(line), self.told.zones, self.told.kinds)
+                self.version = got.version
+                self.answered = True
+                self.deliver(got)
--- /dev/null
+++ b/myrtleroad/net/told.py
@@ -0,0 +1,144 @@
+"""What a front is told at its start: NODE_CONFIG, decoded once."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from myrtleroad import interface as i
+from myrtleroad.facts import facts, ms
+
+Address = tuple[str, int]
+PHASES = {
+    "trial": i.Phase.ON_TRIAL,
+    "rolling_back": i.Phase.GOING_BACK,
+    "released": i.Phase.RELEASED,
+    "withdrawn": i.Phase.WITHDRAWN,
+}
+STATUSES = {
+    "in_service": i.Status.IN_SERVICE,
+    "terminating": i.Status.DRAINING,
+    "terminated": i.Status.GONE,
+}
+
+
+class Unclear(Exception):
+    """A configuration that cannot be read, in one plain line."""
+
+
+@dataclass(slots=True)
+class Entry:
+    """One machine as discovery lists it; the row's index is the front's to give."""
+
+    word: str
+    address: Address
+    row: i.Row
+
+
+@dataclass(slots=True)
+class Listing:
+    version: int
+    kind: i.ListKind
+    entries: list[Entry]
+
+
+@dataclass(slots=True)
+class Told:
+    name: str
+    listen: Address
+    discovery: Address
+    platform: Address
+    seed: int
+    sockets: int
+    facts: i.Facts
+    news: i.StageNews
+    known: Listing
+    routes: dict[bytes, int]
+    tenants: dict[bytes, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    connect_ms: float
+    idle_ms: float
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def listing(m: dict[str, Any], zones: dict[str, int], kinds: dict[str, int]) -> Listing:
+    """A list in discovery's form: the watch's lines and the start's ``known``."""
+    entries = [
+        Entry(
+            word=e["instanceId"],
+            address=address(e["hostPort"]),
+            row=i.Row(
+                machine=-1,
+                status=STATUSES[e["lifecycle"]],
+                build=int(e.get("version_no") or 0),
+                zone=zones.get(e.get("zone"), 0),
+                cell=int(e.get("cell") or 0),
+                kind=kinds.get(e.get("machineType"), 0),
+                weight=float(e.get("weight", 1.0)),
+                started=float(e.get("startedAtMs") or 0),
+            ),
+        )
+        for e in m["instances"]
+    ]
+    kind = i.ListKind.WHOLE if m["reset"] else i.ListKind.CHANGES
+    return Listing(int(m["generation"]), kind, entries)
+
+
+def stage_news(fields: dict[str, Any], answers_vote: bool = False) -> i.StageNews:
+    """The state of the newest build, from the start's news, the bulletin or the answer to a vote."""
+    return i.StageNews(
+        end=i.End.COMPLETED,
+        answers_vote=answers_vote,
+        build=int(fields["Revision"]),
+        stage=int(fields["Wave"]),
+        phase=PHASES[fields["State"]],
+        cap=float(fields["MaxShare"]),
+        age_ms=float(fields["AgeMs"]),
+    )
+
+
+def decode(text: bytes) -> Told:
+    try:
+        m = orjson.loads(text)
+        s = m["settings"]
+        zones = {name: n for n, name in enumerate(s.get("zones", ()))}
+        kinds = {name: n for n, name in enumerate(s.get("kinds", ()))}
+        known = listing(m["known"], zones, kinds)
+        known.kind = i.ListKind.REMEMBERED
+        return Told(
+            name=m["name"],
+            listen=address(m["listen"]),
+            discovery=address(m["discovery"]),
+            platform=address(m["platform"]["address"]),
+            seed=int(str(m["seed"]), 16),
+            sockets=int(m["limits"]["sockets"]),
+            facts=facts(s),
+            news=stage_news(m["platform"]["news"]),
+            known=known,
+            routes={lane["name"].encode(): n for n, lane in enumerate(s["lanes"])},
+            tenants={t["name"].encode(): n for n, t in enumerate(s.get("tenants") or ())},
+            zones=zones,
+            kinds=kinds,
+            connect_ms=ms(s["limits"]["connect_timeout"]),
+            idle_ms=ms(s["limits"]["idle_close"]),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Unclear(f"configuration unclear: {type(error).__name__}: {error}") from None
+
+
+def read(path: str | None = None) -> Told:
+    where = path or os.environ.get("NODE_CONFIG")
+    if not where:
+        raise Unclear("NODE_CONFIG is not set")
+    try:
+        text = Path(where).read_bytes()
+    except OSError as error:
+        raise Unclear(f"configuration unreadable: {error}") from None
+    return decode(text)
