--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -1,6 +1,8 @@
 """The actor that owns the decision module. Whatever happens reaches the module through its mailbox."""
 
+import contextlib
 import heapq
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -9,8 +11,10 @@
 
 from myrtleroad import choice
 from myrtleroad import interface as i
+from myrtleroad.facts import LOAD
 from myrtleroad.life import Life
 from myrtleroad.net import reply
+from myrtleroad.net.ending import Answer
 from myrtleroad.net.head import Message
 from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, TryEnded
 from myrtleroad.net.told import Listing, Told
@@ -18,6 +22,19 @@
 WAKE = None  # the timer of the module's own wake-up; others belong to a req
 
 
+def reported(header: bytes | None) -> float | None:
+    """``TEXT name=value, name=value``; what cannot be read is no report."""
+    form, _, text = (header or b"").decode("latin-1").partition(" ")
+    if form != "TEXT":
+        return None
+    pairs = (pair.partition("=") for pair in text.split(","))
+    try:
+        value = float({name.strip(): value for name, _, value in pairs}[LOAD])
+    except (KeyError, ValueError):
+        return None
+    return value if math.isfinite(value) else None
+
+
 @dataclass(slots=True)
 class Taken:
     rq: i.Req
@@ -66,10 +83,8 @@
             wait = (self.timers[0][0] - self.clock()) / 1000 if self.timers else 1.0
             message = None
             if wait > 0:
-                try:
+                with contextlib.suppress(Empty):
                     message = self.mailbox.get(timeout=wait)
-                except Empty:
-                    pass
             elif not self.mailbox.empty():
                 message = self.mailbox.get()
             if message is not None:
@@ -148,7 +163,10 @@
             self.resume(held, ended, now)
 
     def load(self, message: TryEnded) -> float | None:
-        return None
+        """What the machine's load report, if it sent one, says of the reqs it holds."""
+        if self.told.facts.load_column is None or not isinstance(message.result, Answer):
+            return None
+        return reported(message.result.header(b"x-pressure"))
 
     def resume(self, held: Open, ended: i.Ended | None, now: float) -> None:
         try:
--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -61,7 +61,7 @@
         self.rest, self.event = b"", b""
         try:
             sock = socket.create_connection(self.told.platform, SILENT_S)
-            head.write(sock, head.call("GET", "/v1/bulletin", "%s:%d" % self.told.platform))
+            head.write(sock, head.call("GET", "/v1/bulletin", head.host(self.told.platform)))
             answers = head.Answers()
             while not answers.complete:
                 data = head.read(sock)
@@ -106,7 +106,6 @@
         self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
         self.wait_s = told.facts.rollout.answer_wait_ms / 1000
         self.mailbox: SimpleQueue = SimpleQueue()
-        self.sock: socket.socket | None = None
 
     def run(self) -> None:
         while True:
@@ -118,40 +117,32 @@
             self.deliver(news)
 
     def cast(self, vote: i.Vote) -> Answer | Broken:
-        reach = Reach.NOT_CONNECTED
+        """One call on a connection of its own: votes are rare, and the platform closes idle connections
+        when it likes, which would leave a vote written to one in doubt."""
         fields = {
             "Action": "RecordOpinion",
             "Revision": vote.build,
             "Wave": vote.stage,
             "Decision": VERDICTS[vote.verdict],
         }
-        if self.sock is not None and head.closed(self.sock):
-            self.close()
-        answers = head.Answers()
+        reach, sock, answers = Reach.NOT_CONNECTED, None, head.Answers()
         try:
             with gevent.Timeout(self.wait_s, TimeoutError):
-                if self.sock is None:
-                    self.sock = socket.create_connection(self.told.platform)
+                sock = socket.create_connection(self.told.platform)
                 reach = Reach.CONNECTED
-                body = urlencode(fields).encode()
-                head.write(self.sock, head.call("POST", "/v1/", "%s:%d" % self.told.platform, body))
+                host = head.host(self.told.platform)
+                head.write(sock, head.call("POST", "/v1/", host, urlencode(fields).encode()))
                 reach = Reach.WRITTEN
                 while not answers.complete:
-                    data = head.read(self.sock)
+                    data = head.read(sock)
                     if not data:
-                        self.close()
                         return Broken(reach, Cause.ENDED)
                     reach = Reach.BEGUN
                     answers.feed(data)
+            return answers.answer
         except (OSError, head.Unfit) as error:
-            self.close()
             cause = Cause.TIMEOUT if isinstance(error, TimeoutError) else Cause.ENDED
             return Broken(reach, cause, str(error))
-        if not answers.answer.keep:
-            self.close()
-        return answers.answer
-
-    def close(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+        finally:
+            if sock is not None:
+                sock.close()
--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 heads: parsed in place by httptools, written by gathered writes."""
 
-import socket as std
 from dataclasses import dataclass, field
 
 import httptools
@@ -15,7 +14,8 @@
 BODY_LIMIT = 64 * 1024  # the protocol's
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
 HOP = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split()
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split()
+    + [b"content-length"]  # framing is written anew
 )
 
 
@@ -144,6 +144,10 @@
     return [b"".join(parts), b"\r\n", *message.body]
 
 
+def host(at: tuple[str, int]) -> str:
+    return f"{at[0]}:{at[1]}"
+
+
 def call(method: str, target: str, host: str, body: bytes = b"") -> list[bytes]:
     """A call of our own on discovery or the platform."""
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
@@ -167,8 +171,10 @@
 
 def closed(sock: socket.socket) -> bool:
     """Whether the other side has closed an idle connection, or said what nobody asked for."""
+    # A gevent socket waits for bytes even where MSG_DONTWAIT is asked for; without a timeout it does not.
+    sock.settimeout(0)
     try:
-        sock.recv(1, std.MSG_PEEK | std.MSG_DONTWAIT)
+        sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return False
     except OSError:
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -1,7 +1,7 @@
 """The actor of one machine: its connections and the upstream tries on them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import gevent
 from gevent import socket
@@ -16,6 +16,9 @@
 SPARE_MS = 1000.0  # idle connections are given back this much before the machine would close them
 
 
+UNSENT = Broken(Reach.CONNECTED, Cause.WITHDRAWN)
+
+
 @dataclass(slots=True)
 class Job:
     """One upstream try, as the module asked for it."""
@@ -147,10 +150,8 @@
             else:
                 link = opened
                 result = self.exchange(job, link)
-                if isinstance(result, Answer) and result.keep:
-                    kept = link
-                elif isinstance(result, Broken) and result.cause == Cause.WITHDRAWN:
-                    kept = link
+                whole = isinstance(result, Answer) and result.keep
+                kept = link if whole or result == UNSENT else None
         finally:
             if link is not None and kept is None:
                 link.close()
@@ -186,7 +187,7 @@
             # Guards against a machine that drained, restarted or moved, or a cap that fell, while the
             # connection was coming up: what the module decided on no longer holds.
             if not self.stands(job):
-                return Broken(reach, Cause.WITHDRAWN)
+                return UNSENT
             left = job.ends_at - self.clock()
             if left < 1:
                 return Broken(reach, Cause.TIMEOUT)
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -39,7 +39,7 @@
         try:
             sock = socket.create_connection(self.told.discovery, SILENT_S)
             target = f"/api/targets?watch=1&after={self.version}"
-            head.write(sock, head.call("GET", target, "%s:%d" % self.told.discovery))
+            head.write(sock, head.call("GET", target, head.host(self.told.discovery)))
             answers = head.Answers()
             while not answers.complete:
                 data = head.read(sock)
