--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -13,9 +13,10 @@
 HEAD_LIMIT = 16 * 1024  # what common servers allow
 BODY_LIMIT = 64 * 1024  # the protocol's
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
-HOP = frozenset(
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split()
-    + [b"content-length"]  # framing is written anew
+HOP = frozenset(  # what belongs to one connection; framing is written anew
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split(
+        b" "
+    )
 )
 
 
