--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -13,11 +13,10 @@
 HEAD_LIMIT = 16 * 1024  # what common servers allow
 BODY_LIMIT = 64 * 1024  # the protocol's
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
-HOP = frozenset(  # what belongs to one connection; framing is written anew
-    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length".split(
-        b" "
-    )
+HOP = frozenset(  # what belongs to one connection
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split(b" ")
 )
+FRAMING = b"content-length"  # written anew
 
 
 class Unfit(Exception):
@@ -137,7 +136,7 @@
     parts = [message.method, b" ", message.target, b" HTTP/1.1\r\n"]
     for name, value in message.headers:
         low = name.lower()
-        if low not in HOP and low != b"x-remaining-ms":
+        if low not in HOP and low not in (FRAMING, b"x-remaining-ms"):
             parts += (name, b": ", value, b"\r\n")
     parts.append(b"X-Remaining-Ms: %d\r\n" % remaining_ms)
     if message.body or message.method != b"GET":
--- a/myrtleroad/net/reply.py
+++ b/myrtleroad/net/reply.py
@@ -4,9 +4,9 @@
 from http import HTTPStatus
 
 from myrtleroad.net.ending import Answer
-from myrtleroad.net.head import HOP
+from myrtleroad.net.head import FRAMING, HOP
 
-OURS = HOP | {b"x-pressure", b"x-turned-away"}  # between machines and us, not the client's affair
+OURS = HOP | {FRAMING, b"x-pressure", b"x-turned-away"}  # between machines and us, not the client's affair
 
 
 @dataclass(slots=True)
