--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -14,10 +14,13 @@
 from myrtleroad.facts import LOAD
 from myrtleroad.life import Life
 from myrtleroad.net import reply
+from myrtleroad.net.clock import Clock
+from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer
 from myrtleroad.net.head import Message
-from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, TryEnded
-from myrtleroad.net.told import Listing, Told
+from myrtleroad.net.log import Log
+from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, Share, TryEnded
+from myrtleroad.net.told import Address, Listing, Told
 
 WAKE = None  # the timer of the module's own wake-up; others belong to a req
 
@@ -63,7 +66,7 @@
 
 
 class Brain:
-    def __init__(self, told: Told, clock, counters, log):
+    def __init__(self, told: Told, clock: Clock, counters: Counters, log: Log):
         self.told, self.clock, self.counters, self.log = told, clock, counters, log
         self.mailbox: SimpleQueue = SimpleQueue()
         self.balancer = choice.Balancer(told.facts, told.seed, clock())
@@ -72,7 +75,8 @@
         self.timer_no = 0
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
         self.machines: dict[int, Machine] = {}  # emptied as machines leave the list
-        self.places: dict[int, tuple] = {}  # address and start of each, emptied with them
+        self.places: dict[int, tuple[Address, float]] = {}  # address and start of each, emptied with them
+        self.share = Share(told.sockets // 2)  # the other half is for clients
         self.watch: Callable[[i.Action], None] = lambda act: None
         self.vote: Callable[[i.Vote], None] = lambda act: None
 
@@ -244,7 +248,7 @@
             e.row.machine = number
             place = (e.address, e.row.started)
             if number not in self.machines:
-                args = (self.told, self.clock, self.counters, self.mailbox.put, self.stands)
+                args = (self.told, self.clock, self.counters, self.share, self.mailbox.put, self.stands)
                 actor = self.machines[number] = Machine(e.address, *args)
                 gevent.spawn(actor.run)
             elif self.places[number] != place:
--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -2,6 +2,7 @@
 
 import xml.etree.ElementTree as ET
 from collections.abc import Callable
+from random import Random
 from urllib.parse import parse_qsl, urlencode
 
 import gevent
@@ -10,7 +11,9 @@
 
 from myrtleroad import interface as i
 from myrtleroad.net import head
+from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
+from myrtleroad.net.log import Log
 from myrtleroad.net.told import Told, stage_news
 
 SILENT_S = 3.0  # a sign of life comes every second
@@ -43,9 +46,10 @@
 
 
 class Bulletin:
-    def __init__(self, told: Told, counters, log, random, deliver: Callable[[object], None]):
-        self.told, self.counters, self.log, self.random, self.deliver = told, counters, log, random, deliver
-        self.answered = False
+    def __init__(self, told: Told, counters: Counters, log: Log, deliver: Callable[[object], None]):
+        self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
+        self.random = Random(told.seed).random
+        self.answered = False  # whether the first bulletin has come or failed
         self.rest, self.event = b"", b""
 
     def run(self) -> None:
@@ -102,7 +106,7 @@
 class Desk:
     """Casts votes one after another and tells the module what came of each."""
 
-    def __init__(self, told: Told, counters, log, deliver: Callable[[object], None]):
+    def __init__(self, told: Told, counters: Counters, log: Log, deliver: Callable[[object], None]):
         self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
         self.wait_s = told.facts.rollout.answer_wait_ms / 1000
         self.mailbox: SimpleQueue = SimpleQueue()
--- a/myrtleroad/net/ending.py
+++ b/myrtleroad/net/ending.py
@@ -22,6 +22,7 @@
     UNREADABLE = "unreadable"  # what came was not HTTP
     CANCELLED = "cancelled"  # called off by the module
     WITHDRAWN = "withdrawn"  # the list or the news forbade it just before it was written
+    OVERDUE = "overdue"  # the req's own time ran out before it was written
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,8 +50,8 @@
             return i.End.COMPLETED
         away = result.status in (503, 504) and result.header(b"x-turned-away") == b"1"
         return i.End.FULL if away else i.End.ERRORED
-    if result.cause == Cause.WITHDRAWN:
-        return i.End.MOOT
+    if result.cause in (Cause.WITHDRAWN, Cause.OVERDUE):
+        return i.End.MOOT  # not the machine's fault, and never written
     if result.reach < Reach.WRITTEN:
         # A machine begins a req once its last byte has arrived, and that byte was never written.
         return i.End.NOT_CONNECTED
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -1,9 +1,8 @@
 """The front put together: who is started, in which order, and how it stops."""
 
 import gc
-import random
+import os
 import signal
-import sys
 
 import gevent
 from gevent.event import Event
@@ -22,17 +21,16 @@
 
 class Front:
     def __init__(self, told: Told):
-        self.clock, self.counters = Clock(), Counters()
+        self.told, self.clock, self.counters = told, Clock(), Counters()
         self.log = Log(self.clock)
         self.brain = Brain(told, self.clock, self.counters, self.log)
         deliver = self.brain.mailbox.put
         self.roster = Roster(told, self.counters, self.log, deliver)
-        self.bulletin = Bulletin(told, self.counters, self.log, random.Random(told.seed).random, deliver)
+        self.bulletin = Bulletin(told, self.counters, self.log, deliver)
         self.desk = Desk(told, self.counters, self.log, deliver)
         self.brain.watch, self.brain.vote = self.roster.mailbox.put, self.desk.mailbox.put
-        self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
+        self.door = Door(told, self.clock, self.counters, deliver, self.is_ready)
         self.stop = Event()
-        self.told = told
 
     def is_ready(self) -> bool:
         return self.roster.answered and self.bulletin.answered and not self.stop.is_set()
@@ -42,31 +40,41 @@
         gevent.signal_handler(signal.SIGINT, self.on_term)
         gevent.signal_handler(signal.SIGUSR1, self.show)
         for actor in (self.log, self.brain, self.roster, self.bulletin, self.desk, self.door):
-            gevent.spawn(actor.run)
+            gevent.spawn(self.keep, actor)
         self.log("start", name=self.told.name, machines=len(self.told.known.entries))
         gc.collect()
-        gc.freeze()
+        gc.freeze()  # what is there for good need not be looked through at each collection
         self.stop.wait()
         self.drain()
 
+    def keep(self, actor: Log | Brain | Roster | Bulletin | Desk | Door) -> None:
+        """A fault in an actor is logged and counted, and the actor goes on with its next message."""
+        while True:
+            try:
+                return actor.run()
+            except Exception as error:
+                self.counters.add("faults")
+                self.log("fault", during=type(actor).__name__, error=f"{type(error).__name__}: {error}")
+                gevent.sleep(0.1)
+
     def on_term(self) -> None:
         if self.stop.is_set():
-            sys.exit(1)
+            os._exit(1)  # a second signal ends at once
         self.stop.set()
 
     def drain(self) -> None:
+        """Answer whatever comes while connections may still arrive, then what is held, then end."""
         self.log("stopping", open=len(self.brain.open))
         self.door.stopping = True
         gevent.sleep(LATE_S)
-        self.door.sock.close()
-        while self.brain.open:
+        self.door.shut()
+        last = self.clock() + max(r.timeout_ms for r in self.told.facts.routes)  # for reqs half come
+        while self.brain.open or (self.clock() < last and not all(c.idle for c in self.door.clients)):
             gevent.sleep(0.01)
-        gevent.sleep(0.05)
         self.show()
         self.log("stopped")
         self.log.flush()
 
     def show(self) -> None:
-        self.log(
-            "counters", open=len(self.brain.open), descriptors=descriptors(), counts=self.counters.shown()
-        )
+        held, open_now = len(self.brain.open), descriptors()
+        self.log("counters", open=held, descriptors=open_now, counts=self.counters.shown())
--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -20,7 +20,8 @@
 
 
 class Unfit(Exception):
-    """What came cannot be read as a req or an answer; ``status`` is what a client is told."""
+    """What came cannot be read as a req or an answer; ``status`` is what a client is told. It stops at
+    the connection."""
 
     def __init__(self, status: int):
         self.status = status
@@ -48,52 +49,59 @@
         self.parser = httptools.HttpRequestParser(self)
         self.message = Message()
         self.whole: list[Message] = []
-        self.head_size, self.in_head = 0, True
+        self.begun, self.in_head = False, True  # a req has begun; its head has not ended
+        self.size, self.unread = 0, 0  # bytes of the fields so far; bytes read since the last req's end
+        self.status = 400  # what a fault in the bytes is answered with
 
     def feed(self, data: memoryview) -> list[Message]:
         """The reqs that these bytes make whole; raises Unfit once framing is lost."""
-        self.whole = []
+        self.whole, self.status = [], 400
         if self.in_head:
-            self.head_size += len(data)
+            self.unread += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            raise Unfit(error.__context__.status if isinstance(error.__context__, Unfit) else 400) from None
-        except httptools.HttpParserError:
-            raise Unfit(400) from None
-        if self.in_head and self.head_size > HEAD_LIMIT:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            raise Unfit(self.status) from None
+        if self.in_head and self.unread > HEAD_LIMIT:
             raise Unfit(431)
         return self.whole
 
-    @property
-    def idle(self) -> bool:
-        return self.head_size == 0
-
     def on_message_begin(self) -> None:
-        self.message, self.in_head = Message(), True
+        self.message, self.begun, self.size = Message(), True, 0
 
     def on_url(self, url: bytes) -> None:
         self.message.target += url
+        self.grow(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.message.headers.append((name, value))
+        self.grow(len(name) + len(value) + 4)
+
+    def grow(self, size: int) -> None:
+        self.size += size
+        if self.size > HEAD_LIMIT:
+            self.status = 431
+            raise Unfit(431)
 
     def on_headers_complete(self) -> None:
         self.in_head = False
-        if self.head_size > HEAD_LIMIT + len(BUFFER):
-            raise Unfit(431)
         self.message.method = self.parser.get_method()
+        length = self.message.header(FRAMING)
+        if length is not None and int(length) > BODY_LIMIT:
+            self.status = 413
+            raise Unfit(413)
 
     def on_body(self, data: bytes) -> None:
         self.message.size += len(data)
         if self.message.size > BODY_LIMIT:
+            self.status = 413
             raise Unfit(413)
         self.message.body.append(data)
 
     def on_message_complete(self) -> None:
         self.message.keep = self.parser.should_keep_alive()
         self.whole.append(self.message)
-        self.head_size, self.in_head = 0, True
+        self.begun, self.in_head, self.unread = False, True, 0
 
 
 class Answers:
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -9,14 +9,18 @@
 
 from myrtleroad import interface as i
 from myrtleroad.net import head
+from myrtleroad.net.clock import Clock
+from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach, of_try
-from myrtleroad.net.told import Address
+from myrtleroad.net.told import Address, Told
 
 SWEEP_S = 1.0  # how often idle connections are looked over
 SPARE_MS = 1000.0  # idle connections are given back this much before the machine would close them
 
 
 UNSENT = Broken(Reach.CONNECTED, Cause.WITHDRAWN)
+LATE = Broken(Reach.CONNECTED, Cause.OVERDUE)
+DOUBT = Broken(Reach.WRITTEN, Cause.ENDED, "fault")  # what a try counts as until its result is known
 
 
 @dataclass(slots=True)
@@ -53,9 +57,9 @@
 
 @dataclass(slots=True)
 class Moved:
-    """The list gives the machine another address, or another start."""
+    """The list gives the machine another address, or another start: old connections are of no use."""
 
-    address: Address
+    at: Address
 
 
 @dataclass(slots=True)
@@ -63,23 +67,53 @@
     """The machine has left the list: give back its idle connections and end."""
 
 
+@dataclass(slots=True)
+class Share:
+    """The descriptors that connections to machines may hold together: each try of a held req needs one,
+    and what is over that share is not kept idle."""
+
+    most: int
+    open: int = 0
+
+
+@dataclass(slots=True)
+class Over:
+    """A try has ended; its connection, if it may be used again."""
+
+    job: Job
+    link: "Link | None"
+
+
 class Link:
     """One connection to a machine. Whoever holds it, the actor or one try, is its only user."""
 
-    __slots__ = ("answers", "free_at", "sock")
+    __slots__ = ("answers", "free_at", "share", "sock", "start")
 
-    def __init__(self, sock: socket.socket):
-        self.sock, self.answers, self.free_at = sock, head.Answers(), 0.0
+    def __init__(self, sock: socket.socket, start: int, share: Share):
+        self.sock, self.start, self.share = sock, start, share
+        self.answers, self.free_at = head.Answers(), 0.0
+        share.open += 1
 
     def close(self) -> None:
         self.sock.close()
+        self.share.open -= 1
 
 
 class Machine:
-    def __init__(self, at: Address, told, clock, counters, deliver: Callable[[TryEnded], None], stands):
-        self.at, self.clock, self.counters = at, clock, counters
+    def __init__(
+        self,
+        at: Address,
+        told: Told,
+        clock: Clock,
+        counters: Counters,
+        share: Share,
+        deliver: Callable[[TryEnded], None],
+        stands: Callable[[Job], bool],
+    ):
+        self.at, self.clock, self.counters, self.share = at, clock, counters, share
         self.connect_ms, self.idle_ms = told.connect_ms, told.idle_ms
         self.deliver, self.stands = deliver, stands
+        self.start = 0  # counts the addresses and starts that the list has told
         self.mailbox: SimpleQueue = SimpleQueue()
         self.idle: list[Link] = []  # last used last; emptied by age and as the machine closes
         self.out: dict[tuple[int, int], gevent.Greenlet] = {}  # emptied by each try's end
@@ -95,15 +129,16 @@
             match message:
                 case Go(job):
                     self.out[job.ident, job.try_no] = gevent.spawn(self.attempt, job, self.take())
-                case (Job() as job, link):
+                case Over(job, link):
                     self.out.pop((job.ident, job.try_no), None)
                     if link is not None:
                         self.keep(link)
                 case CallOff(ident, try_no):
                     if running := self.out.get((ident, try_no)):
+                        gevent.sleep(0)  # one that has not begun yet would end without a word
                         running.kill(block=False)
                 case Moved(at):
-                    self.at = at
+                    self.at, self.start = at, self.start + 1
                     self.drop_idle()
                 case Leave():
                     self.gone = True
@@ -113,23 +148,25 @@
         """The idle connection used last, of those that still stand."""
         while self.idle:
             link = self.idle.pop()
-            if self.clock() - link.free_at < self.idle_ms - SPARE_MS and not head.closed(link.sock):
+            if self.sound(link):
                 return link
             link.close()
         return None
 
+    def sound(self, link: Link) -> bool:
+        return self.clock() - link.free_at < self.idle_ms - SPARE_MS and not head.closed(link.sock)
+
     def keep(self, link: Link) -> None:
-        if self.gone or link.sock.getpeername() != self.at:
+        if self.gone or link.start != self.start or self.share.open > self.share.most:
             link.close()
             return
         link.free_at = self.clock()
         self.idle.append(link)
 
     def sweep(self) -> None:
-        old, now = self.idle, self.clock()
-        self.idle = []
+        old, self.idle = self.idle, []
         for link in old:
-            if now - link.free_at < self.idle_ms - SPARE_MS and not head.closed(link.sock):
+            if self.sound(link):
                 self.idle.append(link)
             else:
                 link.close()
@@ -141,7 +178,7 @@
 
     def attempt(self, job: Job, link: Link | None) -> None:
         """One try, sent exactly once; its one ending goes to the module whatever happens."""
-        result: Answer | Broken = Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
+        result: Answer | Broken = DOUBT
         kept = None
         try:
             opened = link or self.connect(job)
@@ -151,35 +188,35 @@
                 link = opened
                 result = self.exchange(job, link)
                 whole = isinstance(result, Answer) and result.keep
-                kept = link if whole or result == UNSENT else None
+                kept = link if whole or result in (UNSENT, LATE) else None
         finally:
             if link is not None and kept is None:
                 link.close()
             end = of_try(result)
             self.counters.add(f"tries_{end.name.lower()}")
             self.deliver(TryEnded(job, end, self.clock() - job.sent, result))
-            self.mailbox.put((job, kept))
+            self.mailbox.put(Over(job, kept))
 
     def connect(self, job: Job) -> Link | Broken:
-        left = min(self.connect_ms, job.ends_at - self.clock()) / 1000
-        if left <= 0:
-            return Broken(Reach.NOT_CONNECTED, Cause.TIMEOUT)
-        sock = None
+        left, start, sock = job.ends_at - self.clock(), self.start, None
+        if left < 1:
+            return LATE
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(left)
+            sock.settimeout(min(self.connect_ms, left) / 1000)
             sock.connect(self.at)
         except OSError as error:
             if sock is not None:
                 sock.close()
-            cause = Cause.TIMEOUT if isinstance(error, TimeoutError) else Cause.REFUSED
-            return Broken(Reach.NOT_CONNECTED, cause, str(error))
+            if isinstance(error, TimeoutError):
+                return LATE if left < self.connect_ms else Broken(Reach.NOT_CONNECTED, Cause.TIMEOUT)
+            return Broken(Reach.NOT_CONNECTED, Cause.REFUSED, str(error))
         except gevent.GreenletExit:
             sock.close()
             return Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
         self.counters.add("machine_connections")
-        return Link(sock)
+        return Link(sock, start, self.share)
 
     def exchange(self, job: Job, link: Link) -> Answer | Broken:
         reach, sock = Reach.CONNECTED, link.sock
@@ -190,7 +227,7 @@
                 return UNSENT
             left = job.ends_at - self.clock()
             if left < 1:
-                return Broken(reach, Cause.TIMEOUT)
+                return LATE
             sock.settimeout(left / 1000)
             head.write(sock, head.forwarded(job.message, int(left)))
             reach = Reach.WRITTEN
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -9,13 +9,15 @@
 from myrtleroad import interface as i
 from myrtleroad.net import head
 from myrtleroad.net.brain import Lost
+from myrtleroad.net.counters import Counters
+from myrtleroad.net.log import Log
 from myrtleroad.net.told import Told, listing
 
 SILENT_S = 4.5  # an empty line comes every 2 s: two have been missed, with some room
 
 
 class Roster:
-    def __init__(self, told: Told, counters, log, deliver: Callable[[object], None]):
+    def __init__(self, told: Told, counters: Counters, log: Log, deliver: Callable[[object], None]):
         self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
         self.mailbox: SimpleQueue = SimpleQueue()
         self.version = told.known.version
