Hold once at any stage a trial whose few samples are plainly slow

Judge.judge held the last stage only, Judge.test said nothing under the floor. Now, from 5 samples a side, p under 0.1 past the margin holds a stage once; the last stage's hold is as it was. Should also hold against any build that errs at once on a small stage; may hurt where few good samples are slow by chance, one stage age a stage.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -69,7 +69,7 @@
 
 
 class Judge:
-    FLOOR = 20  # samples a side before a test, the design's starting value
+    FLOOR, HINT = 20, 5  # samples a side before a test, the design's starting value; before a hold
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
     KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
@@ -80,9 +80,8 @@
         self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
         self.trial: deque[Sample] = deque(maxlen=self.KEEP)
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
-        self.last = len(facts.rollout.caps) - 1
+        self.last, self.told = len(facts.rollout.caps) - 1, False
         self.counts = np.zeros((3, len(facts.routes), 3))  # trial, earlier, before; route; tries, errors, ms
-        self.told = False
         self.offer(-1)
 
     def offer(self, build: int) -> None:
@@ -154,7 +153,8 @@
             now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
             tests.append(self.test(*now, self.MARGIN))
         p, past, text = min(tests) if min(tests)[0] < self.alpha else tests[-1]
-        doubt = past and stage == self.last and not again  # the one hold is kept for where it matters most
+        # Held once a stage: before a release whenever past the margin, earlier where it is likely so (0.1).
+        doubt = past < (1.0 if stage == self.last else 0.1) and not again
         onward = Verdict.NONE if released else Verdict.HOLD if doubt else Verdict.ON
         self.verdict = Verdict.BACK if p < self.alpha else onward
         return self.verdict, "" if self.verdict == Verdict.NONE else text
@@ -162,19 +162,22 @@
     def scaled(self, side: Iterable[Sample]) -> list[Sample]:
         return [(x[0] / x[3], 0.0, *x[2:]) for x in side if x[4]]
 
-    def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, bool, str]:
+    def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, str]:
         views = [(trial, earlier)]
         if 10 * sum(not x[4] for x in earlier) > len(earlier):
             # Exception: where the earlier build errs too, errors are told apart from slowness, or they widen
             # the test until nothing is seen. Guards against worthless reqs and trouble of the whole fleet.
             views = [tuple([x for x in side if x[4]] for side in (trial, earlier))]
             views.append(tuple([(float(not x[4]), 0.0) for x in side] for side in (trial, earlier)))
-        results = [(1.0, False, f"{len(trial)} and {len(earlier)} samples")]
+        results = [(1.0, 1.0, f"{len(trial)} and {len(earlier)} samples")]
         for a, b in views:
-            if min(len(a), len(b)) >= self.FLOOR:
+            if min(len(a), len(b)) >= self.HINT:
                 p, y2, y1 = yuen_cuped(a, b, margin)
                 text = f"trimmed means {y2:.3g} and {y1:.3g}, n {len(a)} and {len(b)}, p {p:.4f}"
-                results.append((min(1.0, p * len(views)), y2 > margin * y1, text))
+                # Guards against an on to a trial whose few samples are plainly slow.
+                p, full = min(1.0, p * len(views)), min(len(a), len(b)) >= self.FLOOR
+                past = p if y2 > margin * y1 and (full or p < 0.1) else 1.0
+                results.append((p if full else 1.0, past, text))
         return min(results[1:], default=results[0])
 
 
@@ -182,8 +185,7 @@
     TICK = 100.0  # ms between looks at the stage; short beside every stage age
 
     def __init__(self, facts: i.Facts, seed: int, now: float):
-        self.facts = facts
-        self.random = Random(seed).random
+        self.facts, self.random = facts, Random(seed).random
         self.machines: dict[int, Machine] = {}  # emptied by the list
         self.sides: dict[bool, list[Machine]] = {False: [], True: []}  # in service; True: on trial
         self.open = 0  # tries out on machines that are not apart
@@ -506,9 +508,7 @@
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
         full = self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now))
-        if not full or self.mean_open > len(
-            self.sides[False]
-        ):  # a front that holds less sees no laden machine
+        if not full or self.mean_open > len(self.sides[False]):  # one that holds less sees none laden
             self.credit = min(2.0, self.credit + self.part)
         if full:
             self.refused_at = now
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -71,6 +71,24 @@
     assert judge.judge(0, judge.stage_age, False)[0] == Verdict.ON
 
 
+def test_few_plainly_slow_samples_hold_a_trial_once_at_any_stage(judge):
+    # Guards against an on to a trial five times as slow that has under 20 samples, as small stages give.
+    for n in range(200):
+        give(judge, 1, 100.0 + n % 7, n)
+    for n in range(8):
+        give(judge, 2, 480.0 + 10 * n, n)
+    assert judge.judge(0, judge.stage_age, False)[0] == Verdict.HOLD
+    assert judge.judge(0, 2 * judge.stage_age, False)[0] == Verdict.ON
+
+
+def test_one_slow_sample_among_few_holds_nothing(judge):
+    for n in range(200):
+        give(judge, 1, 100.0 + n % 7, n)
+    for n in range(8):
+        give(judge, 2, 100.0 if n else 900.0, n)
+    assert judge.judge(2, judge.stage_age, False)[0] == Verdict.ON
+
+
 def test_past_the_margin_but_not_significant_is_held_once_at_the_last_stage(judge):
     for n in range(20):
         give(judge, 2, 100.0 if n % 5 else 550.0, n)
