While laden, let both builds' tries tell a build that slows all machines alike

Judge.judge now lets them stand beside the trial's in the test across time while refusing under told load. Should also hold against a build that loads a shared store; may hurt where another cause slows the whole fleet past 1.5 times at the same load during a trial.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -143,8 +143,9 @@
             return self.verdict, ""
         self.tested = key
         # Exception: against the time before the trial, completed tries only, over the tries met: for a build
-        # that slows all machines or turns bad once released. Hurts when they slow from another cause.
-        recent = self.scaled(self.trial)[-self.KEEP // 4 :]
+        # that slows all machines (all tell it while laden) or turns bad late. Hurts if they slow otherwise.
+        both = [x for x in self.earlier if laden and not released and self.trial and x[2] >= self.trial[0][2]]
+        recent = sorted(self.scaled([*self.trial, *both]), key=lambda x: x[2])[-self.KEEP // 4 :]
         sides = (self.before, self.earlier) if released else (self.before,)
         tests = [self.test(recent, self.scaled(x), self.MARGIN if laden else self.LATER) for x in sides]
         if not released:
@@ -338,8 +339,7 @@
 
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
         """Guards a cold machine: our share of multiple x (low) capacity x window, in whole tries by luck."""
-        rules = self.facts.rules
-        warmth = self.warmth(m, now)
+        rules, warmth = self.facts.rules, self.warmth(m, now)
         while m.sent and m.sent[0][0] <= now - rules.fall_ms:
             m.sent.popleft()
         budget = rules.overload_factor * warmth * self.rate * rules.fall_ms
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -189,6 +189,19 @@
     assert starved.judge(0, 0.0, False)[0] == Verdict.NONE
 
 
+def test_while_laden_all_machines_tell_a_build_that_slows_them_alike(judge):
+    # Guards against few and noisy trial tries hiding what the earlier build's tries show just as well.
+    for n in range(400):
+        give(judge, 1, 100.0 + n % 9, n)
+    judge.offer(3)
+    for n in range(400):
+        give(judge, 1, (40.0, 100.0, 410.0)[n % 3], 400 + n)
+        if n % 18 == 0:
+            give(judge, 3, (40.0, 100.0, 410.0)[n // 18 % 3], 400 + n)
+    assert judge.judge(1, judge.stage_age, False)[0] == Verdict.ON
+    assert judge.judge(2, judge.stage_age, False, laden=True)[0] == Verdict.BACK
+
+
 def test_a_released_build_is_held_to_the_lower_margin_while_laden(judge):
     fill(judge, 100.0, 100.0)
     for n in range(250):
