--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -153,7 +153,7 @@
             since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
             now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
             tests.append(self.test(*now, self.MARGIN))
-        p, past, text = min(tests) if min(tests)[0] < self.alpha else tests[-1]
+        (p, _, text), past = min(tests) if min(tests)[0] < self.alpha else tests[-1], min(t[1] for t in tests)
         # Held once a stage: before a release whenever past the margin, earlier where it is likely so (0.1).
         doubt = past < (1.0 if stage == self.last else 0.1) and not again
         onward = Verdict.NONE if released else Verdict.HOLD if doubt else Verdict.ON
