Keep actors going after a fault; log lists, stages and readiness

A fault in a machine's actor would have left its tries without an end and their reqs lost; each actor is now kept going, the fault told with its place. Calls off go to the one machine; a watch begins by itself where changes come unasked; a remaining time of thousands of digits is a 400.

--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -4,7 +4,7 @@
 import heapq
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 from gevent.queue import Empty, SimpleQueue
@@ -14,6 +14,7 @@
 from myrtleroad.facts import LOAD
 from myrtleroad.life import Life
 from myrtleroad.net import reply
+from myrtleroad.net.actor import fault, keep
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer
@@ -62,7 +63,7 @@
 
     life: Life
     taken: Taken
-    tries: int = 0
+    sent: list[int] = field(default_factory=list)  # the machine of each try
 
 
 class Brain:
@@ -76,13 +77,12 @@
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
         self.machines: dict[int, Machine] = {}  # emptied as machines leave the list
         self.places: dict[int, tuple[Address, float]] = {}  # address and start of each, emptied with them
+        self.stage: tuple[int, int, str, float] | None = None  # the last one told, for the log
         self.share = Share(told.sockets // 2)  # the other half is for clients
         self.watch: Callable[[i.Action], None] = lambda act: None
         self.vote: Callable[[i.Vote], None] = lambda act: None
 
     def run(self) -> None:
-        now = self.clock()
-        self.guard("start", self.start, now)
         while True:
             wait = (self.timers[0][0] - self.clock()) / 1000 if self.timers else 1.0
             message = None
@@ -95,10 +95,12 @@
                 self.take(message, self.clock())
             self.ring(self.clock())
 
-    def start(self, now: float) -> None:
-        self.act(self.balancer.wake(now), now)
-        self.listed(self.told.known, now)
-        self.act(self.balancer.stage_news(self.told.news, now), now)
+    def start(self) -> None:
+        """Once, before ``run``: what the front is told at its start reaches the module."""
+        now = self.clock()
+        self.set_timer(now, WAKE, 0)
+        self.guard("list", self.listed, self.told.known, now)
+        self.take(self.told.news, now)
 
     def guard(self, event: str, call: Callable, *args) -> bool:
         """Faults of the module stop here: logged with their event, counted, and the front goes on."""
@@ -106,8 +108,7 @@
             call(*args)
             return True
         except Exception as error:
-            self.counters.add("faults")
-            self.log("fault", during=event, error=f"{type(error).__name__}: {error}")
+            fault(event, error, self.counters, self.log)
             return False
 
     def take(self, message: object, now: float) -> None:
@@ -130,7 +131,7 @@
                 self.guard("list lost", lambda: self.act(self.balancer.listed(event, now), now))
             case i.StageNews():
                 self.counters.add("stage_news")
-                self.guard("news", lambda: self.act(self.balancer.stage_news(message, now), now))
+                self.guard("news", self.told_stage, message, now)
 
     def ring(self, now: float) -> None:
         while self.timers and self.timers[0][0] <= now:
@@ -142,6 +143,13 @@
             elif life.wait == wait and life.ident in self.open:
                 self.resume(self.open[life.ident], None, now)
 
+    def told_stage(self, news: i.StageNews, now: float) -> None:
+        stage = (news.build, news.stage, news.phase.name, news.cap)
+        if news.end == i.End.COMPLETED and stage != self.stage:
+            self.stage = stage
+            self.log("stage", build=news.build, stage=news.stage, phase=news.phase.name, cap=news.cap)
+        self.act(self.balancer.stage_news(news, now), now)
+
     def set_timer(self, at: float, life: Life | None, wait: int) -> None:
         self.timer_no += 1
         heapq.heappush(self.timers, (at, self.timer_no, life, wait))
@@ -177,8 +185,7 @@
             for act in held.life.resume(ended, now):
                 self.carry_out(held, act, now)
         except Exception as error:
-            self.counters.add("faults")
-            self.log("fault", during="req", error=f"{type(error).__name__}: {error}")
+            fault("req", error, self.counters, self.log)
             held.life.end()
         if held.life.over:
             if held.life.ident in self.open:
@@ -195,7 +202,7 @@
             case i.Fail():
                 self.answer(held, reply.errored())
             case i.Cancel():
-                for machine in self.machines.values():
+                if machine := self.machines.get(held.sent[act.try_no]):
                     machine.mailbox.put(CallOff(held.life.ident, act.try_no))
             case _:
                 raise TypeError(f"no action of a req: {act!r}")
@@ -204,8 +211,9 @@
         row = self.balancer.machines[act.machine].row
         ends_at = min(now + act.timeout_ms, held.taken.rq.ends_at)
         ticket = (row.build, row.started, self.cap(row.build))
-        job = Job(held.life.ident, held.tries, act.machine, held.taken.message, now, ends_at, ticket)
-        held.tries += 1
+        number, message = len(held.sent), held.taken.message
+        job = Job(held.life.ident, number, act.machine, message, now, ends_at, ticket)
+        held.sent.append(act.machine)
         self.counters.add("tries")
         self.machines[act.machine].mailbox.put(Go(job))
 
@@ -230,7 +238,7 @@
             match act:
                 case i.WakeAt(at):
                     self.set_timer(at, WAKE, 0)
-                case i.Watch():
+                case i.Watch(on=True):
                     self.watch(act)
                 case i.Vote():
                     self.counters.add("votes")
@@ -250,7 +258,7 @@
             if number not in self.machines:
                 args = (self.told, self.clock, self.counters, self.share, self.mailbox.put, self.stands)
                 actor = self.machines[number] = Machine(e.address, *args)
-                gevent.spawn(actor.run)
+                gevent.spawn(keep, "machine", actor.run, self.counters, self.log)
             elif self.places[number] != place:
                 self.machines[number].mailbox.put(Moved(e.address))
             self.places[number] = place
--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -50,12 +50,13 @@
         self.told, self.counters, self.log, self.deliver = told, counters, log, deliver
         self.random = Random(told.seed).random
         self.answered = False  # whether the first bulletin has come or failed
+        self.live = False  # whether the one of now has told anything, for the log
         self.rest, self.event = b"", b""
 
     def run(self) -> None:
         while True:
             why = self.read()
-            self.answered = True
+            self.answered, self.live = True, False
             self.counters.add("bulletins_ended")
             self.log("bulletin lost", why=why)
             gevent.sleep(0.25 + 0.5 * self.random())
@@ -97,7 +98,9 @@
                 except (KeyError, ValueError):
                     self.counters.add("bulletin_unreadable")
                 else:
-                    self.answered = True
+                    if not self.live:
+                        self.log("bulletin read", build=news.build)
+                    self.answered = self.live = True
                     self.deliver(news)
             elif name == b"data":
                 self.counters.add("bulletin_unknown")
--- a/myrtleroad/net/door.py
+++ b/myrtleroad/net/door.py
@@ -9,9 +9,11 @@
 
 from myrtleroad import interface as i
 from myrtleroad.net import head, reply
+from myrtleroad.net.actor import fault
 from myrtleroad.net.brain import Gone, Taken
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
+from myrtleroad.net.log import Log
 from myrtleroad.net.told import Told
 
 
@@ -46,6 +48,8 @@
             self.turn.wait()
         except OSError:
             pass  # the connection is over, whatever ended it
+        except Exception as error:
+            fault("client", error, self.door.counters, self.door.log)
         finally:
             if self.held is not None:
                 self.door.deliver(Gone(self.held))
@@ -104,10 +108,11 @@
         told: Told,
         clock: Clock,
         counters: Counters,
+        log: Log,
         deliver: Callable[[object], None],
         is_ready: Callable[[], bool],
     ):
-        self.told, self.clock, self.counters = told, clock, counters
+        self.told, self.clock, self.counters, self.log = told, clock, counters, log
         self.deliver, self.is_ready = deliver, is_ready
         self.clients: set[Client] = set()  # emptied as each connection closes
         self.most = told.sockets // 2 - 32  # the other half is for machines; some for all else
@@ -145,7 +150,8 @@
 
     def make_room(self) -> None:
         """The connections idle for longest give way; one that holds a req never does."""
-        for client in sorted((c for c in self.clients if c.idle), key=lambda c: c.since)[: self.ROOM]:
+        free = [c for c in self.clients if c.turn.is_set()]
+        for client in sorted(free, key=lambda c: (c.requests.begun, c.since))[: self.ROOM]:
             self.counters.add("idle_closed")
             client.sock.close()
 
@@ -174,7 +180,8 @@
         route = self.told.routes.get(message.header(b"x-lane") or b"")
         tenant = self.told.tenants.get(message.header(b"x-org") or b"")
         unknown = route is None or (tenant is None and self.told.tenants)
-        if unknown or not remaining.isdigit() or not message.header(b"x-txn"):
+        readable = remaining.isdigit() and len(remaining) < 10
+        if unknown or not readable or not message.header(b"x-txn"):
             return reply.unfit(400)
         self.ident += 1
         repeat = message.header(b"x-resent") == b"1"
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from myrtleroad.net.actor import keep
 from myrtleroad.net.brain import Brain
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
@@ -29,34 +30,31 @@
         self.bulletin = Bulletin(told, self.counters, self.log, deliver)
         self.desk = Desk(told, self.counters, self.log, deliver)
         self.brain.watch, self.brain.vote = self.roster.mailbox.put, self.desk.mailbox.put
-        self.door = Door(told, self.clock, self.counters, deliver, self.is_ready)
-        self.stop = Event()
+        self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
+        self.stop, self.was_ready = Event(), False
 
     def is_ready(self) -> bool:
-        return self.roster.answered and self.bulletin.answered and not self.stop.is_set()
+        """Once the list and the platform's news are in the module, or could not be had anew."""
+        if self.stop.is_set() or not (self.roster.answered and self.bulletin.answered):
+            return False
+        if not self.was_ready:
+            self.was_ready = True
+            self.log("ready", machines=len(self.brain.machines))
+        return True
 
     def run(self) -> None:
         gevent.signal_handler(signal.SIGTERM, self.on_term)
         gevent.signal_handler(signal.SIGINT, self.on_term)
         gevent.signal_handler(signal.SIGUSR1, self.show)
-        for actor in (self.log, self.brain, self.roster, self.bulletin, self.desk, self.door):
-            gevent.spawn(self.keep, actor)
         self.log("start", name=self.told.name, machines=len(self.told.known.entries))
+        self.brain.start()
+        for actor in (self.log, self.brain, self.roster, self.bulletin, self.desk, self.door):
+            gevent.spawn(keep, type(actor).__name__.lower(), actor.run, self.counters, self.log)
         gc.collect()
         gc.freeze()  # what is there for good need not be looked through at each collection
         self.stop.wait()
         self.drain()
 
-    def keep(self, actor: Log | Brain | Roster | Bulletin | Desk | Door) -> None:
-        """A fault in an actor is logged and counted, and the actor goes on with its next message."""
-        while True:
-            try:
-                return actor.run()
-            except Exception as error:
-                self.counters.add("faults")
-                self.log("fault", during=type(actor).__name__, error=f"{type(error).__name__}: {error}")
-                gevent.sleep(0.1)
-
     def on_term(self) -> None:
         if self.stop.is_set():
             os._exit(1)  # a second signal ends at once
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -1,6 +1,6 @@
 import gevent
 import pytest
-from conftest import build_told, read_req
+from conftest import build_told, read_req, silent
 from gevent import socket
 from gevent.queue import SimpleQueue
 
@@ -15,7 +15,7 @@
 def build_door(is_ready=True, sockets=1024):
     taken = SimpleQueue()
     told = build_told(limits={"sockets": sockets})
-    d = door.Door(told, Clock(), Counters(), taken.put, lambda: is_ready)
+    d = door.Door(told, Clock(), Counters(), silent, taken.put, lambda: is_ready)
     gevent.spawn(d.run)
     return d, taken
 
@@ -62,6 +62,7 @@
         (b"X-Txn: 1\r\n", b"", 400),
         (b"480", b"soon", 400),
         (b"480", b"-1", 400),
+        (b"480", b"9" * 5000, 400),
         (b"X-Remaining-Ms: 480\r\n", b"", 400),
         (b"/api", b"/other", 404),
         (b"/api", b"/-/other", 404),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,7 +12,7 @@
 from gevent.queue import SimpleQueue
 
 from myrtleroad import interface as i
-from myrtleroad.net import brain, front, machine, reply
+from myrtleroad.net import actor, brain, front, machine, reply
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
@@ -27,7 +27,7 @@
 def build_brain(*entries):
     """A module with these machines, whose actors do not run: what they are sent stays in their mailboxes."""
     b = brain.Brain(build_told(*entries), Clock(), Counters(), silent)
-    b.start(b.clock())
+    b.start()
     return b
 
 
@@ -180,6 +180,14 @@
     os.close(writer)
 
 
+def test_an_actor_goes_on_after_a_fault(monkeypatch):
+    monkeypatch.setattr(actor, "REST_S", 0.0)
+    counters, lines, messages = Counters(), [], [0, 2, 0]
+    actor.keep("peer", lambda: 1 / messages.pop(), counters, lambda *a, **fields: lines.append(fields))
+    assert messages == [0] and counters.counts["faults"] == 1
+    assert lines[0]["error"] == "ZeroDivisionError: division by zero"
+
+
 def test_a_second_copy_of_an_answer_is_not_sent():
     b = build_brain(listed("s-1", AT))
     answers = taken(b)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,7 @@
 import gevent
 import orjson
 import pytest
-from conftest import NEWS, Peer, build_config, build_told, listed, read_req, silent
+from conftest import NEWS, SETTINGS, Peer, build_config, build_told, listed, read_req, silent
 from gevent.queue import SimpleQueue
 
 from myrtleroad import interface as i
@@ -56,6 +56,15 @@
     assert asked == [b"GET /api/targets?watch=1&after=7 HTTP/1.1"]
 
 
+def test_where_changes_come_unasked_the_watch_is_begun_again_by_itself(monkeypatch):
+    monkeypatch.setattr(roster, "AGAIN_S", 0.001)
+    peer = Peer(*[lambda sock: None] * 3)
+    t = build_told(discovery=peer.at, settings=SETTINGS | {"registry_mode": "pushed"})
+    said = SimpleQueue()
+    gevent.spawn(roster.Roster(t, Counters(), silent, said.put).run)
+    assert [said.get() for _ in range(3)] == [Lost()] * 3 and peer.met == 3
+
+
 @pytest.mark.parametrize("answer", [b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"what?\r\n\r\n", b""])
 def test_a_watch_that_fails_is_told_once(answer):
     def talk(sock):
