--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -153,7 +153,8 @@
             since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
             now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
             tests.append(self.test(*now, self.MARGIN))
-        (p, _, text), past = min(tests) if min(tests)[0] < self.alpha else tests[-1], min(t[1] for t in tests)
+        p, _, text = min(tests) if min(tests)[0] < self.alpha else tests[-1]
+        past = min(t[1] for t in tests[0 if laden else -1 :])
         # Held once a stage: before a release whenever past the margin, earlier where it is likely so (0.1).
         doubt = past < (1.0 if stage == self.last else 0.1) and not again
         onward = Verdict.NONE if released else Verdict.HOLD if doubt else Verdict.ON
@@ -315,8 +316,7 @@
         return actions
 
     def stage_age(self, now: float) -> float:
-        told = now - self.stage_at
-        return now - self.newest if self.newest > now - told else told - 8000.0  # the longest wait (bench)
+        return now - (self.newest if self.newest > self.stage_at else self.stage_at + 8000.0)  # worst (bench)
 
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
         life = 0.7 * self.facts.rollout.vote_life_ms
