--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -54,7 +54,7 @@
 
 
 class Bulletin(Follower):
-    """The platform's stream of stage news; begun again by itself, after a pause that differs between fronts."""
+    """The platform's stream of news; begun again by itself, after a pause that differs between fronts."""
 
     NAME, ENDED = "bulletin", "bulletins_ended"
 
