Believe others' load by the average of reports, not by each late one; one heavy req shuns nobody

At fault: observe() clamped each late report less our present tries at 0 before averaging (own past tries counted as others'), expected() faded to 0 rather than to what fronts that send alike hold, pace took one heavy req for a slow machine (capped at 8, gain 0.1), and the oldest try's age counted although the machine had answered since. Ruled out: handshakes (5 to 60 a second), work left behind by clients (tries_timeout 0 to 4 a second), the front's own delays (longest_delay_ms 1).

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -205,7 +205,7 @@
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.watch_again = now if facts.list_on_request else float("inf")
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
-        self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
+        self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
         self.limit, self.refused_at, self.refusing = float("inf"), -1e9, False
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
@@ -354,7 +354,7 @@
         route, share = self.facts.routes[r], min(ended.took_ms / self.facts.routes[r].objective_ms, 1.5)
         self.open -= not apart
         if ended.load is not None:
-            m.others += 0.5 * (max(0.0, ended.load - len(m.out)) - m.others)
+            m.others += 0.1 * (ended.load - len(m.out) - m.others)
         if ended.end == End.TIMEOUT and share < 0.9:
             return  # the client's own patience was short: nothing is known of machine, build or queue
         if done:
@@ -362,7 +362,7 @@
             if gone.key and self.facts.rollout.no_return and self.on_trial(m.row.build):
                 self.answered.add(gone.key)
             seen = ended.took_ms / self.usual[r] / gone.met * self.usual_met
-            m.pace += 0.1 * (min(seen, 8.0) - m.pace)
+            m.pace += 0.05 * (min(seen, 3.0) - m.pace)  # one heavy req says little of its machine
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
         if (done or ended.end in (End.TIMEOUT, End.FULL)) and not apart:
             self.share[r] += 0.15 * ((share if done else 1.5) - self.share[r])
@@ -407,15 +407,15 @@
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
-        m.others *= 0.93**ticks  # what is not seen fades, so that a shunned machine is tried again
-        m.pace = pace = 1 + (m.pace - 1) * 0.99**ticks
+        m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
+        m.pace = pace = 1 + (m.pace - 1) * 0.97**ticks
         if m.out:
             oldest = next(iter(m.out.values()))
-            pace = max(pace, (now - oldest.sent) / self.usual[oldest.route] / 2)
+            pace = max(pace, (now - max(oldest.sent, m.linked)) / self.usual[oldest.route] / 2)
         if now - m.linked > 2000:  # a front that is refused connections stays with those it has
             pace *= 1 + 20 * self.squeeze
         pace *= (1 + m.failing) * (1.15 if m.row.zone != self.facts.zone else 1.0)  # crossing is priced
-        return (len(m.out) + m.others + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
+        return (len(m.out) + max(0.0, m.others) + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
 
     SAMPLE = 12  # machines ranked at most: bounds the work, and fronts alike do not all find the same one
 
@@ -446,8 +446,7 @@
             self.part, self.credit = 0.0, self.random()  # fronts alike must not all begin at once
             return
         size = [sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in x) for x in self.sides.values()]
-        cap = self.cap(self.sides[True][-1].row.build)[0]
-        self.part = min(0.8 * cap, self.PART * size[1] / sum(size))
+        self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], self.PART * size[1] / sum(size))
 
     def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
@@ -494,13 +493,14 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
+        self.peers = self.mean_open * (self.facts.balancers - 1) / max(1, len(self.machines))
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
         if strain > self.TARGET:
             cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
-            self.limit = max(len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
+            self.limit = max(2 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
@@ -530,7 +530,7 @@
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
         judged = m.row.started <= 0 or now - m.row.started >= max(Judge.YOUNG, self.facts.rules.cold_ms)
-        met = len(m.out) + m.others + 2
+        met = len(m.out) + max(0.0, m.others) + 2
         self.usual_met += 0.02 * (met - self.usual_met)
         t = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
         m.out[rq.ident, number] = t
