Refuse first the repeats that can only be late; shed reqs come back while still in time

At fault: serve() weighed them like first asks, refuse() sent everyone away for longer than the objective lasts. Now: the time that first asks bring is learnt by route; less than that is age. Come back after 0.4 of the objective.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -1,9 +1,7 @@
 """All decisions of myrtleroad: routing, health, further upstream tries, refusals, judging, votes.
 
 A host makes one ``Balancer(facts, seed, now)`` per front, calls ``wake`` at once and whenever it asked to,
-``listed`` and ``stage_news`` (each returns actions), ``observe`` and ``flagged`` (no actions) as events come,
-and runs ``serve(rq, now)``, a generator, for each req. All types: ``myrtleroad/interface.py``.
-The mechanism, its source and each exception to it are described in ``docs/design.md``.
+hands it events and runs ``serve(rq, now)`` of each req. See ``interface.py`` and ``docs/design.md``.
 """
 
 from collections import deque
@@ -167,8 +165,7 @@
     def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, str]:
         views = [(trial, earlier)]
         if 10 * sum(not x[4] for x in earlier) > len(earlier):
-            # Exception: where the earlier build errs too, errors are told apart from slowness, or they widen
-            # the test until nothing is seen. Guards against worthless reqs and trouble of the whole fleet.
+            # Exception: where the earlier build errs too, errors are told apart from slowness.
             views = [tuple([x for x in side if x[4]] for side in (trial, earlier))]
             views.append(tuple([(float(not x[4]), 0.0) for x in side] for side in (trial, earlier)))
         results = [(1.0, 1.0, f"{len(trial)} and {len(earlier)} samples")]
@@ -190,23 +187,22 @@
         self.facts, self.random = facts, Random(seed).random
         self.machines: dict[int, Machine] = {}  # emptied by the list
         self.sides: dict[bool, list[Machine]] = {False: [], True: []}  # in service; True: on trial
-        self.open = 0  # tries out on machines that are not apart
         self.judge = Judge(facts)
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
         self.stage, self.stage_at = 0, now  # as we believe; the cap is as last told
         self.share = [0.25 for _ in facts.routes]  # time over objective per route, builds on trial left out
-        self.seen = [0.0 for _ in facts.routes]  # how many of them lately
+        self.seen = [0.0] * len(facts.routes)  # how many of them lately
+        self.whole = [0.0] * len(facts.routes)  # time that first asks bring, learnt
         self.usual = [r.objective_ms / 4 for r in facts.routes]  # latency per route, learnt
         kinds = range(len(facts.routes) if facts.rollout.by_route else 1)
-        self.taken: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
-        self.trial_sent: list[deque[float]] = [deque() for _ in kinds]  # emptied by age
+        self.taken, self.trial_sent = ([deque() for _ in kinds] for _ in range(2))  # emptied by age
         self.spare_tries, self.squeeze = 5.0, 0.0  # retry budget; share of tries not connected
-        self.done_cost, self.rate, self.rate_at = 0.0, 0.0, now
+        self.done_cost, self.rate, self.rate_at, self.refused_at, self.refusing = 0.0, 0.0, now, -1e9, False
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.watch_again = now if facts.list_on_request else float("inf")
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
         self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
-        self.limit, self.refused_at, self.refusing = float("inf"), -1e9, False
+        self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
@@ -216,8 +212,7 @@
             self.watch_again = now + 500 + 1000 * self.random()
             return []
         if event.kind != i.ListKind.CHANGES:
-            names = {row.machine for row in event.rows}
-            for index in [x for x in self.machines if x not in names]:
+            for index in self.machines.keys() - {row.machine for row in event.rows}:
                 self.machines[index].row.status = Status.GONE
         for row in event.rows:
             if row.build > max(self.judge.build, self.news.build) and self.news.build > 0:
@@ -328,8 +323,8 @@
 
     def learn_rate(self, now: float) -> None:
         size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
-        rate = self.done_cost / (now - self.rate_at) / max(size, 1.0)
-        self.rate += (rate - self.rate) * (0.2 if self.rate else 1.0)
+        change = self.done_cost / (now - self.rate_at) / max(size, 1.0) - self.rate
+        self.rate += change * (0.2 if self.rate else 1.0)
         self.done_cost, self.rate_at = 0.0, now
 
     def warmth(self, m: Machine, now: float) -> float:
@@ -389,8 +384,7 @@
             self.judge.take(m.row.build, event.route, score, 2.0, False, on_trial, now)
 
     def eject(self, m: Machine, now: float, refused: bool) -> None:
-        # Guards against sick machines and bad links; what all share (bad reqs, a slow route, a bad build)
-        # ejects none, and two fifths stay in use, as they must bear the load.
+        # Guards against sick machines and bad links; what all share ejects none, two fifths stay in use.
         peers = self.sides[self.on_trial(m.row.build)]
         level = sorted(p.failing for p in peers)[len(peers) // 4] if peers else 1.0
         if refused or (m.failing > 0.45 + level and 5 * self.resting(peers, now) < 3 * len(peers)):
@@ -434,7 +428,7 @@
         if self.credit >= 1 and not self.slow(rq.route) and (cand := self.best(True, rq, now, past)):
             usual, fronts = self.sides[False], self.facts.balancers  # they are taken to send alike
             peers = 1 + fronts * sum(len(m.out) for m in usual) / max(1, len(usual))
-            if not usual or 1 + fronts * len(cand.out) <= 1 + self.PUSH * self.warmth(cand, now) * peers:
+            if not usual or fronts * len(cand.out) <= self.PUSH * self.warmth(cand, now) * peers:
                 return cand
         return self.best(False, rq, now, past) or self.best(True, rq, now, past)
 
@@ -465,11 +459,12 @@
         return (True, first.row.zone == m.row.zone, first.row.cell == m.row.cell)[route.group]
 
     def refuse(self, rq: i.Req, past: Past) -> i.Shed | i.Fail:
-        effect, group = self.facts.routes[rq.route].effect, self.facts.routes[rq.route].group
-        repeatable = effect == Effect.RETRIABLE or (effect == Effect.DEDUPED and group == i.Group.ALL)
-        if any(ran for _, _, ran in past) and not repeatable:
+        route = self.facts.routes[rq.route]
+        deduped = route.effect == Effect.DEDUPED and route.group == i.Group.ALL
+        if any(ran for _, _, ran in past) and not (deduped or route.effect == Effect.RETRIABLE):
             return i.Fail()
-        return i.Shed(min(self.facts.max_come_back_ms, 500.0) if self.facts.come_back else 0.0)
+        soon = max(50.0, 0.4 * route.objective_ms)  # so that the repeat may still be in time
+        return i.Shed(min(self.facts.max_come_back_ms, soon) if self.facts.come_back else 0.0)
 
     TARGET = 0.45  # mean time over objective that is aimed at: exponential latencies then end 9 in 10 in time
 
@@ -482,10 +477,17 @@
             used, at = self.tenant_used[rq.tenant]
             used = max(0.0, used - (now - at) * quota / 1000) + 1
             self.tenant_used[rq.tenant] = (min(used, 2 * quota), now)
-            if used > quota:
-                worth *= self.facts.over_share_benefit
+            worth *= self.facts.over_share_benefit if used > quota else 1.0
         return worth
 
+    def room(self, rq: i.Req, now: float) -> float:
+        """Open tries under which a req is taken: fewer if less worthy, or a repeat that can only be late."""
+        r, route = rq.route, self.facts.routes[rq.route]
+        more = min(rq.ends_at - now, route.timeout_ms) - self.whole[r]  # than first asks bring
+        self.whole[r] += (0.1 if more > 0 else 0.005) * more
+        timely = 0.6 + 0.4 * route.late_benefit if self.usual[r] - more > route.objective_ms else 1.0
+        return self.limit * (0.7 + 0.3 * self.worthy(rq, now)) * timely
+
     def apart(self, m: Machine) -> bool:
         """Whether a machine is on trial beside a fleet that is not: its hanging must not close the door."""
         return self.on_trial(m.row.build) and len(self.sides[True]) < len(self.sides[False])
@@ -500,14 +502,14 @@
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
         if strain > self.TARGET:
             cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
-            self.limit = max(2 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
+            self.limit = max(3 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
     def serve(self, rq: i.Req, now: float) -> Generator[i.Action, tuple[float, i.Ended | None], None]:
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
-        full = self.open + self.random() >= self.limit * (0.7 + 0.3 * self.worthy(rq, now))
+        full = self.open + self.random() >= self.room(rq, now)
         if not full or self.mean_open > len(self.sides[False]):  # one that holds less sees none laden
             self.credit = min(2.0, self.credit + self.part)
         if full:
@@ -532,8 +534,7 @@
         judged = m.row.started <= 0 or now - m.row.started >= max(Judge.YOUNG, self.facts.rules.cold_ms)
         met = len(m.out) + max(0.0, m.others) + 2
         self.usual_met += 0.02 * (met - self.usual_met)
-        t = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
-        m.out[rq.ident, number] = t
+        t = m.out[rq.ident, number] = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
         self.open += not self.apart(m)
         m.sent.append((now, t.cost))
         if self.on_trial(m.row.build):
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -1,4 +1,4 @@
-"""Following a peer that tells things on an answer that stays open: discovery's watch, the platform's bulletin."""
+"""Following a peer that tells things on an answer that stays open: a watch on discovery, the bulletin."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
