Settle a machine's pace by how many tries are behind it; expect peers only where loads are told

At fault: pace forgot in 3 s what a small front learns in 10, and machines that report nothing were all given the same guess. Now the gain falls from 0.1 to 0.03 with the tries behind it, one sample counts 4 at most.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -37,6 +37,7 @@
     out: dict[tuple[int, int], Try] = field(default_factory=dict)  # emptied by each try's one ending
     others: float = 0.0  # load reported beyond our own
     pace: float = 1.0  # our latencies here over the usual ones of their routes
+    known: float = 0.0  # completed tries behind that
     failing: float = 0.0  # share of recent tries that failed
     ejected_until: float = 0.0
     linked: float = -1e9  # when a connection to it was last known to work
@@ -75,8 +76,7 @@
     def __init__(self, facts: i.Facts):
         self.alpha = 0.05 * max(1, facts.rollout.back_votes) / facts.balancers  # as many err: 0.05 (Markov)
         self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
-        self.earlier: deque[Sample] = deque(maxlen=self.KEEP)
-        self.trial: deque[Sample] = deque(maxlen=self.KEEP)
+        self.earlier, self.trial = (deque(maxlen=self.KEEP) for _ in range(2))
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
         self.last, self.told = len(facts.rollout.caps) - 1, False
         self.counts = np.zeros((3, len(facts.routes), 3))  # trial, earlier, before; route; tries, errors, ms
@@ -221,16 +221,13 @@
             if known is None or known.row.started != row.started or known.row.build != row.build:
                 known = self.machines[row.machine] = Machine(row, self.random(), known.out if known else {})
             known.row = row
-        for index in [x for x, m in self.machines.items() if m.row.status == Status.GONE and not m.out]:
-            del self.machines[index]
+        self.machines = {x: m for x, m in self.machines.items() if m.row.status != Status.GONE or m.out}
         self.regroup()
         return []
 
     def regroup(self) -> None:
-        self.sides = {False: [], True: []}
-        for m in self.machines.values():
-            if m.row.status == Status.IN_SERVICE:
-                self.sides[self.on_trial(m.row.build)].append(m)
+        live = [m for m in self.machines.values() if m.row.status == Status.IN_SERVICE]
+        self.sides = {x: [m for m in live if self.on_trial(m.row.build) == x] for x in (False, True)}
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         self.newest = max(starts, default=0.0)
         self.open = sum(len(m.out) for m in self.machines.values() if not self.apart(m))
@@ -357,7 +354,8 @@
             if gone.key and self.facts.rollout.no_return and self.on_trial(m.row.build):
                 self.answered.add(gone.key)
             seen = ended.took_ms / self.usual[r] / gone.met * self.usual_met
-            m.pace += 0.05 * (min(seen, 3.0) - m.pace)  # one heavy req says little of its machine
+            m.known += 1  # one heavy req says little of a machine that completes many
+            m.pace += max(0.03, 1 / (m.known + 9)) * (min(seen, 4.0) - m.pace)
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
         if (done or ended.end in (End.TIMEOUT, End.FULL)) and not apart:
             self.share[r] += 0.15 * ((share if done else 1.5) - self.share[r])
@@ -402,7 +400,8 @@
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
         m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
-        m.pace = pace = 1 + (m.pace - 1) * 0.97**ticks
+        m.known, m.pace = m.known * 0.99**ticks, 1 + (m.pace - 1) * 0.99**ticks
+        pace = m.pace
         if m.out:
             oldest = next(iter(m.out.values()))
             pace = max(pace, (now - max(oldest.sent, m.linked)) / self.usual[oldest.route] / 2)
@@ -495,14 +494,19 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
-        self.peers = self.mean_open * (self.facts.balancers - 1) / max(1, len(self.machines))
+        self.peers = (
+            self.mean_open
+            * (self.facts.load_column is not None)
+            * (self.facts.balancers - 1)
+            / max(1, len(self.machines))
+        )
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
         if strain > self.TARGET:
             cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
-            self.limit = max(3 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
+            self.limit = max(2 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
 
