--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -204,6 +204,7 @@
         self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
+        self.alike = facts.balancers - 1 if facts.load_column is not None else 0  # fronts that send alike
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
@@ -320,8 +321,8 @@
 
     def learn_rate(self, now: float) -> None:
         size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
-        change = self.done_cost / (now - self.rate_at) / max(size, 1.0) - self.rate
-        self.rate += change * (0.2 if self.rate else 1.0)
+        gain, rate = 0.2 if self.rate else 1.0, self.done_cost / (now - self.rate_at) / max(size, 1.0)
+        self.rate += gain * (rate - self.rate)
         self.done_cost, self.rate_at = 0.0, now
 
     def warmth(self, m: Machine, now: float) -> float:
@@ -400,8 +401,7 @@
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
         m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
-        m.known, m.pace = m.known * 0.99**ticks, 1 + (m.pace - 1) * 0.99**ticks
-        pace = m.pace
+        m.known, m.pace = m.known * 0.99**ticks, (pace := 1 + (m.pace - 1) * 0.99**ticks)
         if m.out:
             oldest = next(iter(m.out.values()))
             pace = max(pace, (now - max(oldest.sent, m.linked)) / self.usual[oldest.route] / 2)
@@ -494,12 +494,7 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
-        self.peers = (
-            self.mean_open
-            * (self.facts.load_column is not None)
-            * (self.facts.balancers - 1)
-            / max(1, len(self.machines))
-        )
+        self.peers = self.mean_open * self.alike / max(1, len(self.machines))
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
