--- a/myrtleroad/net/door.py
+++ b/myrtleroad/net/door.py
@@ -137,7 +137,7 @@
         gevent.spawn(self.write, final)
 
     def write(self, final: reply.Reply) -> None:
-        self.closing = self.closing or self.door.stopping
+        self.closing = self.closing or self.door.stopping or self.door.crowded
         self.door.counters.add(f"answers_{final.status}")
         self.written = self.door.clock()
         try:
@@ -189,6 +189,9 @@
         self.deliver, self.is_ready = deliver, is_ready
         self.clients: set[Client] = set()  # emptied as each connection closes
         self.most = (told.sockets - APART) // 2  # the other half is for machines
+        self.many = (
+            told.sockets // 4
+        )  # connections kept between reqs: under the third that open reqs may hold
         self.ident = 0
         self.stopping = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -196,6 +199,12 @@
         self.sock.bind(told.listen)
         self.sock.listen(self.BACKLOG)
 
+    @property
+    def crowded(self) -> bool:
+        """Whether an answer is its connection's last. Guards against clients that ask once and keep their
+        connection: the descriptors they hold, until they are found idle, are those of the next clients."""
+        return len(self.clients) > self.many
+
     def run(self) -> None:
         sweeper = gevent.spawn(self.sweep)
         try:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -221,6 +221,23 @@
     assert status(sock)[0] == 503 and len(d.clients) <= 8 and len(silent_ones) == 60
 
 
+def test_where_connections_are_many_an_answer_is_the_last_of_its_own():
+    d, taken = build_door(sockets=100)
+    few = client(d)
+    few.sendall(GOOD)
+    taken.get().answer(reply.shed(0.0))
+    assert b"Connection: close" not in status(few)[1]
+    held = [client(d) for _ in range(26)]
+    few.sendall(GOOD)
+    message = taken.get()
+    while len(d.clients) < 27:
+        gevent.sleep(0.001)
+    message.answer(reply.shed(0.0))
+    code, head, _ = status(few)
+    assert code == 503 and b"Connection: close" in head and len(held) == 26
+    assert few.recv(1) == b""
+
+
 def test_stopping_answers_what_is_held_and_closes_what_is_idle():
     d, taken = build_door()
     idle, holding, late = client(d), client(d), client(d)
