Read what the watch and the bulletin hold before the first byte of every try

Cause: lists and news came to the module behind reqs. The loop looks at 64 sockets a turn, in an order of its own, and a list made two hops through mailboxes.

Change: a lookout asks the descriptors of both streams in one system call, before the brain takes a message and directly before a first byte; what they hold is parsed and applied there. Lists and news have a lane ahead of the mailbox, the head of a try is put together before the check and not between check and write.

--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import heapq
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -20,11 +20,13 @@
 from myrtleroad.net.ending import Answer
 from myrtleroad.net.head import Message
 from myrtleroad.net.log import Log
+from myrtleroad.net.lookout import Lookout
 from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, Share, TryEnded
 from myrtleroad.net.told import Address, Listing, Told
 
 APART = 24  # descriptors for all else: log, clock, both streams, twice while they move, a vote, some to spare
 MOST_HELD = 1e6  # reqs that no machine holds: a report past it, or not a number, is none
+NUDGE = None  # in the mailbox: something waits in the lane
 WAKE = None  # the timer of the module's own wake-up; others belong to a req
 
 
@@ -72,6 +74,8 @@
     def __init__(self, told: Told, clock: Clock, counters: Counters, log: Log):
         self.told, self.clock, self.counters, self.log = told, clock, counters, log
         self.mailbox: SimpleQueue = SimpleQueue()
+        self.lane: deque[object] = deque()  # lists and news, ahead of the mailbox; emptied by ``hear``
+        self.lookout = Lookout()
         self.balancer = choice.Balancer(told.facts, told.seed, clock())
         self.open: dict[int, Open] = {}  # emptied as each req ends
         self.ids: Counter[bytes] = Counter()  # of open reqs and of tries that are out; emptied as each ends
@@ -94,10 +98,23 @@
                     message = self.mailbox.get(timeout=wait)
             elif not self.mailbox.empty():
                 message = self.mailbox.get()
-            if message is not None:
+            self.hear()
+            if message is not NUDGE:
                 self.take(message, self.clock())
             self.ring(self.clock())
 
+    def tell(self, message: object) -> None:
+        """Lists and news go ahead of reqs: into the lane, not behind what waits in the mailbox."""
+        self.lane.append(message)
+        self.mailbox.put(NUDGE)
+
+    def hear(self) -> None:
+        """Everything told so far reaches the module now, the bytes included that no greenlet has read yet.
+        Called by the brain before each message and by each try before its first byte; never switches."""
+        self.guard("look", self.lookout.look)
+        while self.lane:
+            self.take(self.lane.popleft(), self.clock())
+
     def start(self) -> None:
         """Once, before ``run``: what the front is told at its start reaches the module."""
         now = self.clock()
@@ -238,7 +255,9 @@
         return self.balancer.cap(build)[0] if self.balancer.on_trial(build) else float("inf")
 
     def stands(self, job: Job) -> bool:
-        """Whether what the list and the news said when the module chose the machine still holds."""
+        """Whether what the list and the news said when the module chose the machine still holds, after all
+        that has been told by now. Asked directly before the first byte."""
+        self.hear()
         known = self.balancer.machines.get(job.machine)
         if known is None or known.row.status != i.Status.IN_SERVICE:
             return False
--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -14,6 +14,7 @@
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
 from myrtleroad.net.log import Log
+from myrtleroad.net.lookout import Lookout
 from myrtleroad.net.stream import Follower, Stream
 from myrtleroad.net.told import UNREADABLE, Moved, Told, stage_news
 
@@ -58,8 +59,15 @@
 
     NAME, ENDED = "bulletin", "bulletins_ended"
 
-    def __init__(self, told: Told, counters: Counters, log: Log, deliver: Callable[[object], None]):
-        super().__init__(told.platform, counters, log, deliver)
+    def __init__(
+        self,
+        told: Told,
+        counters: Counters,
+        log: Log,
+        deliver: Callable[[object], None],
+        lookout: Lookout,
+    ):
+        super().__init__(told.platform, counters, log, deliver, lookout)
         self.random = Random(told.seed).random
         self.event = b""  # of the stream of now; an event ends with its data line here
 
@@ -69,7 +77,7 @@
 
     def open(self) -> Stream:
         self.event = b""
-        return Stream(self.at, "/v1/bulletin", SILENT_S, self.mailbox.put)
+        return Stream(self.at, "/v1/bulletin", SILENT_S, self.mailbox.put, self.lookout)
 
     def line(self, stream: Stream, text: bytes) -> None:
         name, mark, value = text.strip().partition(b":")
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -26,9 +26,10 @@
         self.log = Log(self.clock, log_to)
         self.brain = Brain(told, self.clock, self.counters, self.log)
         deliver = self.brain.mailbox.put
-        self.roster = Roster(told, self.counters, self.log, deliver)
-        self.bulletin = Bulletin(told, self.counters, self.log, deliver)
-        self.desk = Desk(told, self.counters, self.log, deliver)
+        tell, lookout = self.brain.tell, self.brain.lookout
+        self.roster = Roster(told, self.counters, self.log, tell, lookout)
+        self.bulletin = Bulletin(told, self.counters, self.log, tell, lookout)
+        self.desk = Desk(told, self.counters, self.log, tell)
         self.brain.watch, self.brain.vote = self.roster.mailbox.put, self.desk.mailbox.put
         self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
         self.stop, self.was_ready = Event(), False
--- /dev/null
+++ b/myrtleroad/net/lookout.py
@@ -0,0 +1,46 @@
+"""What the watch and the bulletin hold unread: it is read before a first byte goes to a machine.
+
+A stream's own greenlet reads it too. But the loop wakes greenlets in an order of its own, at most 64 sockets
+at a time, and after the process has been held everything has come at once: without a look the reqs ahead of
+a drain would go to machines that drain."""
+
+import select
+from collections.abc import Callable
+from typing import Protocol
+
+
+class Source(Protocol):
+    def read_now(self) -> bool:
+        """Take what has come, without waiting; False once nothing more can come."""
+
+
+class Lookout:
+    """The descriptors of the open streams, asked for together in one system call. A stream leaves it as it
+    closes, or as its end is seen."""
+
+    __slots__ = ("poll", "settle", "sources")
+
+    def __init__(self) -> None:
+        self.poll = select.poll()
+        self.sources: dict[int, Source] = {}  # as many as streams are open: four at most
+        self.settle: list[Callable[[], None]] = []  # the followers' own steps: what they were posted is taken
+
+    def add(self, fd: int, source: Source) -> None:
+        self.sources[fd] = source
+        self.poll.register(fd, select.POLLIN)
+
+    def drop(self, fd: int, source: Source) -> None:
+        # Guards against a number that the system has given to another stream meanwhile.
+        if self.sources.get(fd) is source:
+            del self.sources[fd]
+            self.poll.unregister(fd)
+
+    def look(self) -> None:
+        """Costs one system call where nothing has come. Never switches to another greenlet."""
+        if self.sources:
+            for fd, _ in self.poll.poll(0):
+                source = self.sources.get(fd)
+                if source is not None and not source.read_now():
+                    self.drop(fd, source)
+        for step in self.settle:
+            step()
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -227,15 +227,16 @@
     def exchange(self, job: Job, link: Link) -> Answer | Broken:
         reach, sock = Reach.CONNECTED, link.sock
         try:
-            # Guards against a machine that drained, restarted or moved, or a cap that fell, while the
-            # connection was coming up: what the module decided on no longer holds.
-            if not self.stands(job):
-                return UNSENT
             left = job.ends_at - self.clock()
             if left < 1:
                 return LATE
             sock.settimeout(left / 1000)
-            head.write(sock, head.forwarded(job.message, int(left)))
+            parts = head.forwarded(job.message, int(left))
+            # Guards against a machine that drained, restarted or moved, or a cap that fell, while the
+            # connection was coming up or the process was held: what the module decided on no longer holds.
+            if not self.stands(job):
+                return UNSENT
+            head.write(sock, parts)
             reach = Reach.WRITTEN
             answers = link.answers
             answers.reset()
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -10,6 +10,7 @@
 from myrtleroad.net.brain import Lost
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
+from myrtleroad.net.lookout import Lookout
 from myrtleroad.net.stream import Follower, Stream
 from myrtleroad.net.told import Told, listing
 
@@ -23,8 +24,15 @@
 
     NAME, ENDED = "list", "watches_ended"
 
-    def __init__(self, told: Told, counters: Counters, log: Log, deliver: Callable[[object], None]):
-        super().__init__(told.discovery, counters, log, deliver)
+    def __init__(
+        self,
+        told: Told,
+        counters: Counters,
+        log: Log,
+        deliver: Callable[[object], None],
+        lookout: Lookout,
+    ):
+        super().__init__(told.discovery, counters, log, deliver, lookout)
         self.asks, self.words = told.facts.list_on_request, (told.zones, told.kinds)
         self.version = told.known.version
         self.random = Random(told.seed).random
@@ -36,7 +44,7 @@
 
     def open(self) -> Stream:
         target = f"/api/targets?watch=1&after={self.version}"
-        return Stream(self.at, target, SILENT_S, self.mailbox.put)
+        return Stream(self.at, target, SILENT_S, self.mailbox.put, self.lookout)
 
     def line(self, stream: Stream, text: bytes) -> None:
         if not text.strip():
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -1,5 +1,6 @@
 """Following a peer that tells things on an answer that stays open: a watch on discovery, the bulletin."""
 
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,8 +11,10 @@
 from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
+from myrtleroad.net.lookout import Lookout
 from myrtleroad.net.told import UNREADABLE, Address, Moved
 
+READ = 64 * 1024  # bytes a read: as the shared buffer holds
 CONNECT_S = 1.0  # loopback and a datacentre's network connect in ms; a silent address must not hold for long
 LINE_LIMIT = 1024 * 1024  # a list of some 4,000 machines on one line; noise without line ends stops there
 
@@ -29,12 +32,22 @@
 
 
 class Stream:
-    """One connection to one address. Its greenlet reads whole lines and posts them, then its end."""
-
-    __slots__ = ("at", "greenlet", "post", "rest", "silent_s", "target", "told")
-
-    def __init__(self, at: Address, target: str, silent_s: float, post: Callable[[object], None]):
+    """One connection to one address. Its greenlet reads whole lines and posts them, then its end; whoever
+    must not miss what has come calls ``read_now`` through the lookout, at any moment between two switches."""
+
+    __slots__ = ("answers", "at", "greenlet", "lookout", "post", "rest", "silent_s", "sock", "target", "told")
+
+    def __init__(
+        self,
+        at: Address,
+        target: str,
+        silent_s: float,
+        post: Callable[[object], None],
+        lookout: Lookout,
+    ):
         self.at, self.target, self.silent_s, self.post = at, target, silent_s, post
+        self.lookout, self.sock = lookout, None
+        self.answers = head.Answers(stream=True)
         self.rest = b""  # of a line that has not ended
         self.told = False  # whether it has told anything yet
         self.greenlet = gevent.spawn(self.run)
@@ -48,23 +61,51 @@
             sock = socket.create_connection(self.at, CONNECT_S)
             sock.settimeout(self.silent_s)
             head.write(sock, head.call("GET", self.target, head.host(self.at)))
-            answers = head.Answers(stream=True)
-            while not answers.complete:
+            self.sock = sock
+            self.lookout.add(sock.fileno(), self)
+            while not self.answers.complete:
                 data = head.read(sock)
                 if not data:
                     return "ended"
-                answers.feed(data)
-                if answers.answer.status not in (0, 200):
-                    return f"status {answers.answer.status}"
-                chunks, answers.answer.body = answers.answer.body, []
-                self.take(b"".join(chunks))
+                self.feed(data)
             return "ended"
         except (OSError, head.Unfit) as error:
             return f"{type(error).__name__}: {error}"
         finally:
             if sock is not None:
+                self.lookout.drop(sock.fileno(), self)
+                self.sock = None
                 sock.close()
 
+    def feed(self, data: memoryview | bytes) -> None:
+        self.answers.feed(data)
+        if self.answers.answer.status not in (0, 200):
+            raise head.Unfit(self.answers.answer.status)
+        chunks, self.answers.answer.body = self.answers.answer.body, []
+        self.take(b"".join(chunks))
+
+    def read_now(self) -> bool:
+        """One read, a second where that was full, and so on up to a line's limit. What cannot be read, and
+        the end, are left to the greenlet: it is told at once."""
+        if self.sock is None or self.answers.complete:
+            return False
+        try:
+            for _ in range(LINE_LIMIT // READ + 1):
+                data = os.read(self.sock.fileno(), READ)
+                if not data:
+                    return False
+                self.feed(data)
+                if self.answers.complete:
+                    raise ConnectionError("ended")
+                if len(data) < READ:
+                    break
+        except BlockingIOError:
+            pass
+        except (OSError, head.Unfit) as error:
+            self.greenlet.kill(error, block=False)  # which ends ``read`` as its own would
+            return False
+        return True
+
     def take(self, chunk: bytes) -> None:
         """Lines may be split anywhere."""
         *lines, self.rest = (self.rest + chunk).split(b"\n")
@@ -84,8 +125,17 @@
 
     NAME, ENDED = "", ""  # for log and counters
 
-    def __init__(self, at: Address, counters: Counters, log: Log, deliver: Callable[[object], None]):
+    def __init__(
+        self,
+        at: Address,
+        counters: Counters,
+        log: Log,
+        deliver: Callable[[object], None],
+        lookout: Lookout,
+    ):
         self.at, self.counters, self.log, self.deliver = at, counters, log, deliver
+        self.lookout = lookout
+        lookout.settle.append(self.settle)
         self.mailbox: SimpleQueue = SimpleQueue()
         self.now: Stream | None = None
         self.old: Stream | None = None
@@ -95,6 +145,12 @@
         while True:
             self.take(self.mailbox.get())
 
+    def settle(self) -> None:
+        """What waits in the mailbox is taken now, in order, by whoever may not go on without it. ``take``
+        never switches, so nobody is found in the middle of it."""
+        while self.mailbox.qsize():
+            self.take(self.mailbox.get(block=False))
+
     def take(self, message: object) -> None:
         match message:
             case Moved(at):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -122,6 +122,12 @@
     } | changes
 
 
+def news_line(**changes):
+    """The platform's event of what it has to tell."""
+    fields = "&".join(f"{name}={value}" for name, value in (NEWS | changes).items())
+    return f"event: progress\ndata: {fields}\n\n".encode()
+
+
 def build_config(machines=(), discovery=("127.0.0.1", 9), platform=("127.0.0.1", 9), **changes):
     return {
         "name": "n0",
--- /dev/null
+++ b/tests/test_lists_first.py
@@ -0,0 +1,199 @@
+"""The loop is held, reqs and news come meanwhile, the loop goes on: what was told goes first."""
+
+import os
+import socket as plain
+
+import gevent
+import orjson
+import pytest
+from conftest import build_told, listed, news_line
+from gevent import socket
+
+from myrtleroad.net import front
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CROWD = 150  # clients: more than the loop looks at in one turn
+
+
+def chunk(text):
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+def read(sock):
+    got = b""
+    while True:
+        try:
+            data = sock.recv(65536)
+        except BlockingIOError:
+            return got
+        if not data:
+            return got
+        got += data
+
+
+class Listener:
+    """A peer that acts only when the test says so: it runs in no greenlet."""
+
+    def __init__(self):
+        self.sock = plain.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(512)
+        self.sock.setblocking(False)
+        self.at = self.sock.getsockname()
+        self.conns = []
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            sock.setblocking(False)
+            self.conns.append(sock)
+
+    def take(self, group=1000):
+        """Answer the reqs that have come, by groups of connections; how many there were."""
+        self.accept()
+        met = 0
+        for at, sock in enumerate(self.conns):
+            n = read(sock).count(b"X-Lane")
+            sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" * n)
+            met += n
+            if at % group == group - 1:
+                gevent.sleep(0.001)
+        return met
+
+    def opened(self):
+        while not self.conns:
+            gevent.sleep(0.001)
+            self.accept()
+        return self.conns[0]
+
+
+class Held:
+    """A front in this process, between peers that this test plays: while the test does not yield, the
+    front's loop stands still and the system gathers what is written to it."""
+
+    def __init__(self, **row):
+        self.discovery, self.platform, self.first, self.second = (Listener() for _ in range(4))
+        self.rows = [listed("s-1", self.first.at, **row)]
+        told = build_told(*self.rows, discovery=self.discovery.at, platform=self.platform.at)
+        self.front = front.Front(told, os.open(os.devnull, os.O_WRONLY))
+        self.running = gevent.spawn(self.front.run)
+        self.discovery.opened().send(HEAD + self.listing(8, reset=True))
+        self.platform.opened().send(HEAD + chunk(news_line()))
+        while not self.front.is_ready():
+            gevent.sleep(0.001)
+        self.clients, self.number = [], 0
+
+    def listing(self, version, *changes, reset=False):
+        rows = [row | change for row, change in zip(self.rows, changes, strict=False)] or self.rows
+        return chunk(orjson.dumps({"generation": version, "reset": reset, "instances": rows}) + b"\n")
+
+    def connect(self, clients):
+        at = self.front.door.sock.getsockname()
+        self.clients += [plain.create_connection(at) for _ in range(clients)]
+        gevent.sleep(0.02)
+
+    def ask(self, pause=False):
+        """A req from each client, written while the loop stands still unless ``pause``."""
+        for client in self.clients:
+            self.number += 1
+            client.send(
+                b"GET /api HTTP/1.1\r\nHost: h\r\nX-Txn: %d\r\nX-Lane: look\r\nX-Org: acme\r\n"
+                b"X-Remaining-Ms: 1900\r\n\r\n" % self.number
+            )
+            if pause:
+                gevent.sleep(0.0005)
+
+    def answered(self):
+        """Plays the machines until every client has its answer; tries met by the first, by the second."""
+        left, met, got = set(self.clients), [0, 0], []
+        for client in self.clients:
+            client.setblocking(False)
+        while left:
+            gevent.sleep(0.001)
+            met[0] += self.first.take()
+            met[1] += self.second.take()
+            for client in list(left):
+                if answer := read(client):
+                    got.append(answer[:12])
+                    left.discard(client)
+        return met, got
+
+    def warm(self, clients):
+        """As many connections to the first machine as clients, none of them new when the moment comes. All
+        in small groups: a loop that has once seen a crowd in one turn looks at more sockets from then on."""
+        self.connect(clients)
+        self.ask(pause=True)
+        met = 0
+        while met < clients:
+            gevent.sleep(0.002)
+            met += self.first.take(group=20)
+        gevent.sleep(0.02)
+        assert self.answered() == ([0, 0], [b"HTTP/1.1 200"] * clients)
+
+
+@pytest.fixture
+def held():
+    made = []
+
+    def make(**row):
+        made.append(Held(**row))
+        return made[-1]
+
+    yield make
+    for h in made:
+        h.running.kill()
+        h.front.door.sock.close()
+
+
+@pytest.mark.parametrize("clients", [1, 60, CROWD])
+def test_a_drain_told_behind_a_crowd_of_reqs_goes_before_them(held, clients):
+    h = held()
+    h.warm(clients)
+    h.rows.append(listed("s-2", h.second.at))
+    h.ask()
+    h.discovery.conns[0].send(h.listing(9, {"lifecycle": "terminating"}, {}))
+    met, got = h.answered()
+    assert met[0] == 0 and met[1] > 0 and set(got) <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+    counts = h.front.counters.counts
+    assert counts["lists"] == 2 and counts["faults"] == 0
+
+
+def test_a_cap_that_falls_behind_a_crowd_of_reqs_goes_before_them(held):
+    h = held(version_no=2)
+    h.platform.conns[0].send(chunk(news_line(Revision=2, State="trial", MaxShare=1.0)))
+    gevent.sleep(0.02)
+    h.warm(CROWD)
+    h.ask()
+    h.platform.conns[0].send(chunk(news_line(Revision=2, State="rolling_back", MaxShare=0.0)))
+    met, got = h.answered()
+    assert met == [0, 0] and set(got) == {b"HTTP/1.1 503"}
+
+
+def test_half_a_line_changes_nothing_and_its_rest_all(held):
+    h = held()
+    h.warm(CROWD)
+    h.rows.append(listed("s-2", h.second.at))
+    text = h.listing(9, {"lifecycle": "terminating"}, {})
+    h.discovery.conns[0].send(text[:90])
+    h.ask()
+    met, _ = h.answered()
+    assert met[0] > 0 and met[1] == 0
+    h.ask()
+    h.discovery.conns[0].send(text[90:])
+    met, _ = h.answered()
+    assert met[0] == 0 and met[1] > 0
+
+
+def test_a_drain_and_the_end_of_the_watch_in_one_moment(held):
+    h = held()
+    h.warm(CROWD)
+    h.rows.append(listed("s-2", h.second.at))
+    h.ask()
+    sock = h.discovery.conns[0]
+    sock.send(h.listing(9, {"lifecycle": "terminating"}, {}) + chunk(b'{"gener'))
+    sock.shutdown(socket.SHUT_RDWR)
+    met, _ = h.answered()
+    assert met[0] == 0 and h.front.counters.counts["watches_ended"] == 1
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 from myrtleroad.net.brain import Lost
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
+from myrtleroad.net.lookout import Lookout
 
 AT = ("127.0.0.1", 8443)
 FIRST = {"generation": 8, "reset": False, "instances": [listed("s-1", AT, lifecycle="terminating")]}
@@ -21,19 +22,19 @@
 
 def build_roster(at=("127.0.0.1", 9), **changes):
     said = SimpleQueue()
-    return roster.Roster(build_told(discovery=at, **changes), Counters(), silent, said.put), said
+    return roster.Roster(build_told(discovery=at, **changes), Counters(), silent, said.put, Lookout()), said
 
 
 def build_bulletin(at=("127.0.0.1", 9)):
     said = SimpleQueue()
-    return desk.Bulletin(build_told(platform=at), Counters(), silent, said.put), said
+    return desk.Bulletin(build_told(platform=at), Counters(), silent, said.put, Lookout()), said
 
 
 class Still(stream.Stream):
     """A stream that no connection feeds; the follower believes that it is read."""
 
     def __init__(self, follower):
-        super().__init__(("127.0.0.1", 9), "/", 1.0, follower.mailbox.put)
+        super().__init__(("127.0.0.1", 9), "/", 1.0, follower.mailbox.put, follower.lookout)
         self.close()
 
 
