Follow the fleet by a pure state machine; ask again at once after a reset; blind fronts take care

Cause: a watch that ended was asked for again after 0.5 to 1.5 s, while a list already written to it counts as told: a drain written just before a reset reached the module past the drain window. One unreadable entry ended the watch and hid the drains beside it; a whole list from a new address with lower numbers was passed over.

Change: package membership. Asking says how soon to ask (at once after a stream that stood, full jitter and a bound on all fronts together while it fails), Following which streams stand and how fresh their word is (a silent one gets another beside it), Book whose word holds. Roster and bulletin carry them out; the drill asks by the same Asking. The module is told the sight: blind past the window, machines that took work lately come first. Sends stopped by list or cap are counted, and the oldest list a send relied on.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -41,6 +41,7 @@
     failing: float = 0.0  # share of recent tries that failed
     ejected_until: float = 0.0
     linked: float = -1e9  # when a connection to it was last known to work
+    took: float = -1e9  # when a try was sent that it completed: it drained not then
     faded: float = 0.0  # when what is not seen was last faded
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
 
@@ -199,9 +200,10 @@
         self.spare_tries, self.squeeze = 5.0, 0.0  # retry budget; share of tries not connected
         self.done_cost, self.rate, self.rate_at, self.refused_at, self.refusing = 0.0, 0.0, now, -1e9, False
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
-        self.watch_again = now if facts.list_on_request else float("inf")
+        self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
         self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
+        self.strain = 0.0  # recent times over objectives, by route and how many were seen
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.alike = facts.balancers - 1 if facts.load_column is not None else 0  # fronts that send alike
@@ -209,9 +211,6 @@
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
     def listed(self, event: i.Listed, now: float) -> list[i.Action]:
-        if event.kind == i.ListKind.FAILED:
-            self.watch_again = now + 500 + 1000 * self.random()
-            return []
         if event.kind != i.ListKind.CHANGES:
             for index in self.machines.keys() - {row.machine for row in event.rows}:
                 self.machines[index].row.status = Status.GONE
@@ -226,6 +225,9 @@
         self.regroup()
         return []
 
+    def sighted(self, event: i.Sighted, now: float) -> None:
+        self.blind_at = event.since if event.sight == i.Sight.BLIND else float("inf")
+
     def regroup(self) -> None:
         live = [m for m in self.machines.values() if m.row.status == Status.IN_SERVICE]
         self.sides = {x: [m for m in live if self.on_trial(m.row.build) == x] for x in (False, True)}
@@ -282,9 +284,6 @@
 
     def wake(self, now: float) -> list[i.Action]:
         actions: list[i.Action] = [i.WakeAt(now + self.TICK)]
-        if now >= self.watch_again:
-            self.watch_again = float("inf")
-            actions.append(i.Watch())
         self.prune(now)
         if now - self.rate_at >= 1000:
             self.learn_rate(now)
@@ -355,6 +354,7 @@
             if gone.key and self.facts.rollout.no_return and self.on_trial(m.row.build):
                 self.answered.add(gone.key)
             seen = ended.took_ms / self.usual[r] / gone.met * self.usual_met
+            m.took = max(m.took, gone.sent)
             m.known += 1  # one heavy req says little of a machine that completes many
             m.pace += max(0.03, 1 / (m.known + 9)) * (min(seen, 4.0) - m.pace)
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
@@ -364,6 +364,8 @@
         refused = ended.end == End.NOT_CONNECTED
         self.squeeze += 0.05 * (refused - self.squeeze)
         m.linked = m.linked if refused else now
+        if ended.end == End.FULL and self.blind(now):
+            m.ejected_until = now + 2000  # it may drain, and nobody tells us
         failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.TIMEOUT)
         if failed or done:
             m.failing += 0.2 * (failed - m.failing)
@@ -420,8 +422,17 @@
         few = [m for m in few if m.ejected_until <= now and all(m is not p for p, _, _ in past)]
         fit = [m for m in few if self.may_take(m, rq, now, past)]
         fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
+        if self.blind(now):
+            # Exception: a drain may stand untold. Machines that took work within the window come first, then
+            # those whose connections stand; any other only where there is none of these.
+            lately = now - self.facts.rules.drain_grace_ms
+            fit = [m for m in fit if m.took > lately] or [m for m in fit if m.linked > now - 2000] or fit
         return min(fit, key=lambda m: self.expected(m, now) * (1 + 0.05 * self.random()), default=None)
 
+    def blind(self, now: float) -> bool:
+        """Whether the list has been followed no more for longer than a drain may go unheeded."""
+        return now > self.blind_at + self.facts.rules.drain_grace_ms
+
     def pick(self, rq: i.Req, now: float, past: Past) -> Machine | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
         if self.credit >= 1 and not self.slow(rq.route) and (cand := self.best(True, rq, now, past)):
@@ -439,7 +450,9 @@
             self.part, self.credit = 0.0, self.random()  # fronts alike must not all begin at once
             return
         size = [sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in x) for x in self.sides.values()]
-        self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], self.PART * size[1] / sum(size))
+        # Guards against judging our own push: on busy machines a third more tries is a queue, not a build.
+        part = 1 + (self.PART - 1) * max(0.0, 1 - self.strain / self.TARGET)
+        self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], part * size[1] / sum(size))
 
     def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
         if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
@@ -499,6 +512,7 @@
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
+        self.strain = strain
         if strain > self.TARGET:
             cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
             self.limit = max(2 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
@@ -525,7 +539,7 @@
             t = self.sent(rq, m, number, now)
             now, ended = yield i.Send(m.row.machine, rq.ends_at - now)
             past.append((m, t, ended.end not in i.NEVER_RAN))
-            cost = float(ended.end != End.NOT_CONNECTED)  # which costs the machine little
+            cost = float(ended.end not in (End.NOT_CONNECTED, End.MOOT))  # which cost the machine little
         yield self.refuse(rq, past)
 
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
--- a/myrtleroad/drill/codec.py
+++ b/myrtleroad/drill/codec.py
@@ -15,8 +15,8 @@
     "Partial": i.ListKind.CHANGES,
     "Complete": i.ListKind.WHOLE,
     "Persisted": i.ListKind.REMEMBERED,
-    "Error": i.ListKind.FAILED,
 }
+FAILED = "Error"  # a list that could not be had
 
 
 class WireFault(Exception):
--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -1,6 +1,7 @@
 """Instances of the decision module: their reqs (generators), ids and timers. Nothing is decided here."""
 
 from collections.abc import Iterable
+from random import Random
 from typing import Any
 
 from myrtleroad import choice
@@ -8,8 +9,10 @@
 from myrtleroad.drill import codec
 from myrtleroad.facts import facts
 from myrtleroad.life import Life
+from myrtleroad.membership.asking import Asking, Manner
 
-WAKE = 0  # the cookie of the module's own wake-up; those above it belong to reqs
+WAKE, ASK = 0, 1  # the cookies of the module's wake-up and of asking for the list; those above are of reqs
+SIGN_MS = 2000.0  # no signs of life come on this wire; the real one's interval
 
 
 class Instance:
@@ -17,12 +20,17 @@
 
     def __init__(self, number: int, settings: dict[str, Any], seed: int, now: float):
         self.number = number
-        self.balancer = choice.Balancer(facts(settings), seed, now)
+        known = facts(settings)
+        self.balancer = choice.Balancer(known, seed, now)
+        rules = known.rules
+        manner = Manner(known.balancers, rules.drain_grace_ms, SIGN_MS, rules.ask_every_ms or float("inf"))
+        self.asks, self.asking = known.list_on_request, Asking(manner, Random(seed).random)
+        self.told: float | None = None  # when the list was first told since the last failure
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
         self.words: list[str] = []
         self.held: dict[int, Life] = {}  # emptied as each req ends
         self.cookies: dict[int, tuple[Life, int]] = {}  # emptied as each timer rings
-        self.next_cookie = WAKE + 1
+        self.next_cookie = ASK + 1
         self.out: list[dict[str, Any]] = []
 
     def machine(self, word: str) -> int:
@@ -49,6 +57,8 @@
             case "RING":
                 if m["cookie"] == WAKE:
                     self.act(b.wake(now))
+                elif m["cookie"] == ASK:
+                    self.act([i.Watch()])
                 elif mark := self.cookies.pop(m["cookie"], None):
                     held, wait = mark
                     if held.wait == wait:
@@ -60,9 +70,13 @@
                 if held := self.held.get(m["job"]):
                     held.calm()  # the stream has begun
             case "DISCOVERY":
+                if m["kind"] == codec.FAILED:
+                    self.ask_again(now)
+                    return
                 kind = codec.LISTS[m["kind"]]
-                entries = () if kind == i.ListKind.FAILED else lists[m.get("ref", 0)]
-                rows = [codec.row(e, self.machine(e["machine"])) for e in entries]
+                if kind != i.ListKind.REMEMBERED:
+                    self.told = now if self.told is None else self.told
+                rows = [codec.row(e, self.machine(e["machine"])) for e in lists[m.get("ref", 0)]]
                 self.act(b.listed(i.Listed(kind, rows), now))
             case "SHIP_STATE":
                 self.act(b.stage_news(codec.stage_news(m), now))
@@ -75,6 +89,16 @@
             case _:
                 raise codec.WireFault(f"unknown event {cmd!r}")
 
+    def begin(self, now: float) -> None:
+        self.act(self.balancer.wake(now))
+        if self.asks:
+            self.act([i.Watch()])
+
+    def ask_again(self, now: float) -> None:
+        stood = None if self.told is None else now - self.told
+        self.told = None
+        self.put(codec.action(i.WakeAt(now + self.asking.pause(stood)), None, None, ASK))
+
     def drop(self, held: Life) -> None:
         held.end()
         del self.held[held.ident]
@@ -121,7 +145,7 @@
             if cmd == "BORN":
                 instance = Instance(number, m["settings"], m["salt"], now)
                 self.instances[number] = instance
-                instance.act(instance.balancer.wake(now))
+                instance.begin(now)
             elif number in self.instances:
                 instance = self.instances[number]
                 instance.handle(cmd, m, now, self.lists)
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -75,7 +75,14 @@
     CHANGES = 0
     WHOLE = 1
     REMEMBERED = 2
-    FAILED = 3
+
+
+class Sight(IntEnum):
+    """How far the list can be trusted to be all that was told."""
+
+    FRESH = 0  # a stream stands and has said something lately
+    DOUBTFUL = 1  # the stream that stands is silent for longer than it should be: it may be half open
+    BLIND = 2  # no stream stands that has told anything
 
 
 # --- facts told at the start ---
@@ -166,6 +173,14 @@
     rows: list[Row] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Sighted:
+    """The sight has changed; ``since`` is when the last word or sign of life came."""
+
+    sight: Sight
+    since: float
+
+
 @dataclass(slots=True)
 class Req:
     ident: int
--- /dev/null
+++ b/myrtleroad/membership/asking.py
@@ -0,0 +1,50 @@
+"""How soon to ask a shared service again: at once after a stream that stood, more and more rarely while it
+fails, and never so often that all fronts together press on it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Manner:
+    """How a stream is followed; all figures in ms but ``fronts``.
+
+    ``grace_ms``: how long after a change was told a front may still act on the list before it.
+    ``sign_ms``: how often the other side says something, be it a sign of life alone.
+    ``most_ms``: the longest that the settings let a front go without asking; inf where they do not say."""
+
+    fronts: int
+    grace_ms: float
+    sign_ms: float
+    most_ms: float = float("inf")
+
+
+class Asking:
+    """The pauses of one follower. ``chance`` draws from [0, 1).
+
+    Full jitter over a growing span, after "Exponential Backoff and Jitter" (AWS Architecture Blog, 2015)."""
+
+    SPREAD_MS = 2.0  # a front, over which the first asks after a stream that stood are spread: 500 a second
+    PART = 0.25  # of the grace at most goes by before the first ask; the rest is for the answer
+    BASE_MS = 100.0  # span of the pause after the first failure: some answers' time
+    FULL_MS = 500.0  # the longest span of a small deployment: two graces of the shortest kind known
+    PRESS_PER_S = 40.0  # asks a second from all fronts together while a service fails
+    STEADY_MS = 1000.0  # a stream that told something and stood for less has failed all the same
+
+    __slots__ = ("chance", "failures", "longest", "spread")
+
+    def __init__(self, manner: Manner, chance: Callable[[], float]):
+        self.chance, self.failures = chance, 0  # failures: since a stream last stood
+        self.spread = min(self.PART * manner.grace_ms, self.SPREAD_MS * manner.fronts)
+        even = 2 * 1000.0 * manner.fronts / self.PRESS_PER_S  # a span's mean pause is half of it
+        self.longest = min(max(self.FULL_MS, even), manner.most_ms)
+
+    def pause(self, stood_ms: float | None) -> float:
+        """How long to wait, in ms, now that a stream has ended; ``stood_ms`` is how long it stood after it
+        had told something, None where it told nothing."""
+        if stood_ms is not None and stood_ms >= self.STEADY_MS:
+            self.failures = 0
+            return self.chance() * self.spread
+        self.failures += 1
+        # Guards against a service that takes every call and drops it at once: the same as one that fails.
+        return self.chance() * min(self.longest, self.BASE_MS * 2.0 ** min(self.failures - 1, 16))
--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -56,11 +56,6 @@
     ident: int
 
 
-@dataclass(slots=True)
-class Lost:
-    """The watch on the list has ended or could not begin."""
-
-
 @dataclass(slots=True)
 class Open:
     """One open req: its life in the module, and whom its answer is for."""
@@ -86,7 +81,7 @@
         self.places: dict[int, tuple[Address, float]] = {}  # address and start of each, emptied with them
         self.stage: tuple[int, int, str, float] | None = None  # the last one told, for the log
         self.share = Share((told.sockets - APART) // 2)  # the other half is for clients
-        self.watch: Callable[[i.Action], None] = lambda act: None
+        self.list_age: Callable[[float], float] = lambda now: 0.0
         self.vote: Callable[[i.Vote], None] = lambda act: None
 
     def run(self) -> None:
@@ -146,10 +141,9 @@
             case Listing():
                 self.counters.add("lists")
                 self.guard("list", self.listed, message, now)
-            case Lost():
-                self.counters.add("lists_lost")
-                event = i.Listed(i.ListKind.FAILED)
-                self.guard("list lost", lambda: self.act(self.balancer.listed(event, now), now))
+            case i.Sighted():
+                self.counters.add(f"list_{message.sight.name.lower()}")
+                self.guard("sight", self.balancer.sighted, message, now)
             case i.StageNews():
                 self.counters.add("stage_news")
                 self.guard("news", self.told_stage, message, now)
@@ -259,10 +253,16 @@
         that has been told by now. Asked directly before the first byte."""
         self.hear()
         known = self.balancer.machines.get(job.machine)
-        if known is None or known.row.status != i.Status.IN_SERVICE:
-            return False
         build, started, cap = job.ticket
-        return (known.row.build, known.row.started) == (build, started) and self.cap(build) >= cap
+        listed = known is not None and known.row.status == i.Status.IN_SERVICE
+        if not listed or (known.row.build, known.row.started) != (build, started):
+            self.counters.add("sends_stopped_by_list")
+            return False
+        if self.cap(build) < cap:
+            self.counters.add("sends_stopped_by_cap")
+            return False
+        self.counters.high("list_age_ms", self.list_age(self.clock()))
+        return True
 
     def answer(self, held: Open, final: reply.Reply) -> None:
         if self.open.pop(held.life.ident, None):
@@ -275,8 +275,6 @@
             match act:
                 case i.WakeAt(at):
                     self.set_timer(at, WAKE, 0)
-                case i.Watch(on=True):
-                    self.watch(act)
                 case i.Vote():
                     self.counters.add("votes")
                     self.log("vote", build=act.build, verdict=act.verdict.name, stage=act.stage)
--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -2,7 +2,6 @@
 
 import xml.etree.ElementTree as ET
 from collections.abc import Callable
-from random import Random
 from urllib.parse import parse_qsl, urlencode
 
 import gevent
@@ -14,11 +13,11 @@
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
 from myrtleroad.net.log import Log
-from myrtleroad.net.lookout import Lookout
-from myrtleroad.net.stream import Follower, Stream
+from myrtleroad.net.roster import manner
+from myrtleroad.net.stream import Follower, Post, Stream
 from myrtleroad.net.told import UNREADABLE, Moved, Told, stage_news
 
-SILENT_S = 3.0  # a sign of life comes every second
+SIGN_MS = 1000.0  # a sign of life comes so often (protocol)
 KINDS = (b"progress", b"metrics", b"complaint")  # of events; the first is the only one of this deployment
 VERDICTS = {
     i.Verdict.NONE: "clear",
@@ -55,29 +54,19 @@
 
 
 class Bulletin(Follower):
-    """The platform's stream of news; begun again by itself, after a pause that differs between fronts."""
+    """The platform's stream of news."""
 
     NAME, ENDED = "bulletin", "bulletins_ended"
 
-    def __init__(
-        self,
-        told: Told,
-        counters: Counters,
-        log: Log,
-        deliver: Callable[[object], None],
-        lookout: Lookout,
-    ):
-        super().__init__(told.platform, counters, log, deliver, lookout)
-        self.random = Random(told.seed).random
-        self.event = b""  # of the stream of now; an event ends with its data line here
+    def __init__(self, told: Told, counters: Counters, log: Log, post: Post):
+        super().__init__(told.platform, manner(told, SIGN_MS), told, counters, log, post)
+        self.events: dict[int, bytes] = {}  # of each stream; an event ends with its data line here
 
-    def run(self) -> None:
-        self.asked()
-        super().run()
+    def open(self, number: int) -> Stream:
+        return Stream(number, "/v1/bulletin", self)
 
-    def open(self) -> Stream:
-        self.event = b""
-        return Stream(self.at, "/v1/bulletin", SILENT_S, self.mailbox.put, self.lookout)
+    def parted(self, stream: Stream) -> None:
+        self.events.pop(stream.number, None)
 
     def line(self, stream: Stream, text: bytes) -> None:
         name, mark, value = text.strip().partition(b":")
@@ -87,8 +76,8 @@
         if name == b"event":
             if value not in KINDS:
                 raise ValueError("no kind of event")
-            self.event = value
-        elif name == b"data" and self.event == b"progress":
+            self.events[stream.number] = value
+        elif name == b"data" and self.events.get(stream.number) == b"progress":
             news = stage_news(dict(parse_qsl(value.decode())))
             self.deliver(news)
             self.told(stream, build=news.build)
@@ -97,9 +86,6 @@
         elif name not in (b"", b"data", b"id", b"retry"):
             raise ValueError("no field of an event stream")
 
-    def lost(self) -> None:
-        gevent.spawn_later(0.25 + 0.5 * self.random(), self.mailbox.put, i.Watch())
-
 
 class Desk:
     """Casts votes one after another and tells the module what came of each."""
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -15,6 +15,7 @@
 from myrtleroad.net.door import Door
 from myrtleroad.net.log import Log, descriptors
 from myrtleroad.net.roster import Roster
+from myrtleroad.net.stream import Post
 from myrtleroad.net.told import Moved, Told, Unclear, fixed, read
 
 LATE_S = 0.45  # new connections keep arriving for up to 0.4 s after SIGTERM
@@ -26,11 +27,13 @@
         self.log = Log(self.clock, log_to)
         self.brain = Brain(told, self.clock, self.counters, self.log)
         deliver = self.brain.mailbox.put
-        tell, lookout = self.brain.tell, self.brain.lookout
-        self.roster = Roster(told, self.counters, self.log, tell, lookout)
-        self.bulletin = Bulletin(told, self.counters, self.log, tell, lookout)
+        tell = self.brain.tell
+        post = Post(self.clock, tell, self.brain.lookout)
+        self.roster = Roster(told, self.counters, self.log, post)
+        self.bulletin = Bulletin(told, self.counters, self.log, post)
+        self.brain.list_age = self.roster.following.age
         self.desk = Desk(told, self.counters, self.log, tell)
-        self.brain.watch, self.brain.vote = self.roster.mailbox.put, self.desk.mailbox.put
+        self.brain.vote = self.desk.mailbox.put
         self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
         self.stop, self.was_ready = Event(), False
 
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -1,66 +1,141 @@
-"""The discovery actor: watches the list of machines and passes on what it says."""
+"""The discovery actor: follows the list of machines and passes on what holds of it."""
 
-from collections.abc import Callable
 from random import Random
 
 import gevent
-import orjson
+from gevent import socket
 
 from myrtleroad import interface as i
-from myrtleroad.net.brain import Lost
+from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.membership.book import Book, Change, Rank, Said
+from myrtleroad.membership.following import Seen
+from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
-from myrtleroad.net.lookout import Lookout
-from myrtleroad.net.stream import Follower, Stream
-from myrtleroad.net.told import Told, listing
+from myrtleroad.net.stream import CONNECT_S, Follower, Post, Stream
+from myrtleroad.net.told import UNREADABLE, Entry, Listing, Told, count, entries, loads
 
-AGAIN_S = 1.0  # the longest pause before a watch that nobody asks for: many fronts share one discovery
-SILENT_S = 4.5  # an empty line comes every 2 s: two have been missed, with some room
+SIGN_MS = 2000.0  # an empty line comes so often while nothing changes (protocol)
+FETCH_S = 2.5  # for a whole list asked for by itself: a service in a queue takes as long
+RANKS = {i.Status.IN_SERVICE: Rank.OPEN, i.Status.DRAINING: Rank.CLOSING, i.Status.GONE: Rank.AWAY}
 
 
-class Roster(Follower):
-    """The module says when to watch; where changes come unasked, there is nothing to say and the watch is
-    begun again by itself, after a pause that differs between fronts."""
+def manner(told: Told, sign_ms: float) -> Manner:
+    rules = told.facts.rules
+    most = rules.ask_every_ms or float("inf")
+    return Manner(told.facts.balancers, rules.drain_grace_ms, sign_ms, most)
+
+
+def rank(e: Entry) -> Rank:
+    return RANKS[e.row.status]
+
+
+def same(a: Entry, b: Entry) -> bool:
+    return (a.row.build, a.row.started) == (b.row.build, b.row.started)
+
+
+class Fetched:
+    """What came of asking for the whole list: the list of one source, or None and why."""
+
+    __slots__ = ("said", "why")
+
+    def __init__(self, said: Said[Entry] | None, why: str = ""):
+        self.said, self.why = said, why
+
 
+class Roster(Follower):
     NAME, ENDED = "list", "watches_ended"
 
-    def __init__(
-        self,
-        told: Told,
-        counters: Counters,
-        log: Log,
-        deliver: Callable[[object], None],
-        lookout: Lookout,
-    ):
-        super().__init__(told.discovery, counters, log, deliver, lookout)
-        self.asks, self.words = told.facts.list_on_request, (told.zones, told.kinds)
-        self.version = told.known.version
-        self.random = Random(told.seed).random
-
-    def run(self) -> None:
-        if not self.asks:
-            self.again()
-        super().run()
-
-    def open(self) -> Stream:
-        target = f"/api/targets?watch=1&after={self.version}"
-        return Stream(self.at, target, SILENT_S, self.mailbox.put, self.lookout)
+    def __init__(self, told: Told, counters: Counters, log: Log, post: Post):
+        super().__init__(told.discovery, manner(told, SIGN_MS), told, counters, log, post)
+        self.words = (told.zones, told.kinds)
+        self.book: Book[Entry] = Book(rank, same)
+        self.book.remember(told.known.version, {e.word: e for e in told.known.entries})
+        self.pacing = Asking(manner(told, SIGN_MS), Random(told.seed + 1).random)
+        self.sources: dict[int, int] = {}  # of each stream that is held; emptied as each ends
+        self.fetching = False
+
+    def open(self, number: int) -> Stream:
+        self.sources[number] = self.following.source
+        return Stream(number, f"/api/targets?watch=1&after={self.book.version}", self)
+
+    def said(self, text: bytes, source: int) -> Said[Entry]:
+        """A list in discovery's form. Raises where nothing of it can be read."""
+        m = loads(text)
+        read, unclear = entries(m["instances"], *self.words)
+        return Said(source, count(m["generation"]), bool(m["reset"]), read, unclear)
 
     def line(self, stream: Stream, text: bytes) -> None:
         if not text.strip():
             return
-        got = listing(orjson.loads(text), *self.words)
-        # Guards against an older list over a newer one while two addresses tell; a sole one's word stands.
-        stale = self.old is not None and got.version < self.version
-        if not stale:
-            self.version = got.version
-            self.deliver(got)
-            self.told(stream, version=got.version, entries=len(got.entries))
-
-    def lost(self) -> None:
-        self.deliver(Lost())
-        if not self.asks:
-            self.again()
-
-    def again(self) -> None:
-        gevent.spawn_later(AGAIN_S * self.random(), self.mailbox.put, i.Watch())
+        said = self.said(text, self.sources[stream.number])
+        change = self.book.take(said, self.following.sole(stream.number))
+        if said.source == self.book.source:
+            self.told(stream, version=said.version, entries=len(said.entries))
+        self.apply(change)
+
+    def parted(self, stream: Stream) -> None:
+        source = self.sources.pop(stream.number, self.book.source)
+        if source in self.sources.values():
+            return
+        change = self.book.left(source)
+        self.apply(change)
+        if change is not None:  # what stood behind it holds now
+            for number in [n for n, x in self.sources.items() if x == self.book.source]:
+                self.carry(self.following.told(number, self.clock()))
+
+    def seen(self, act: Seen) -> None:
+        super().seen(act)
+        self.deliver(i.Sighted(act.sight, act.since))
+
+    def apply(self, change: Change[Entry] | None) -> None:
+        """What a list changes goes to the module; a whole list is asked for where one is wanted."""
+        if change is None:
+            return
+        rows = list(change.entries.values())
+        for word in change.shut:
+            # Guards against sending on to a machine of which something was said that we cannot read.
+            rows.append(self.book.known[word].draining())
+        if change.whole or rows:
+            kind = i.ListKind.WHOLE if change.whole else i.ListKind.CHANGES
+            self.deliver(Listing(self.book.version, kind, rows))
+        if change.ask and not self.fetching:
+            self.fetching = True
+            pause = self.pacing.pause(None)
+            self.log("list whole asked", why=change.ask, in_ms=round(pause, 1))
+            source = self.following.source
+            gevent.spawn_later(pause / 1000, lambda: self.mailbox.put(self.fetch(source)))
+
+    def fetch(self, source: int) -> Fetched:
+        """The whole list, in one call of its own."""
+        sock, answers = None, head.Answers()
+        self.counters.add("lists_fetched")
+        try:
+            with gevent.Timeout(FETCH_S, TimeoutError):
+                sock = socket.create_connection(self.at, CONNECT_S)
+                head.write(sock, head.call("GET", "/api/targets", head.host(self.at)))
+                while not answers.complete:
+                    data = head.read(sock)
+                    if not data:
+                        return Fetched(None, "ended")
+                    answers.feed(data)
+            if answers.answer.status != 200:
+                return Fetched(None, f"status {answers.answer.status}")
+            return Fetched(self.said(b"".join(answers.answer.body), source))
+        except (OSError, head.Unfit, *UNREADABLE) as error:
+            return Fetched(None, f"{type(error).__name__}: {error}")
+        finally:
+            if sock is not None:
+                sock.close()
+
+    def other(self, message: object) -> None:
+        if not isinstance(message, Fetched):
+            return super().other(message)
+        self.fetching = False
+        if message.said is None:
+            self.log("list whole missed", why=message.why)
+            return self.apply(Change(False, {}, ask=message.why))
+        change = self.book.fetched(message.said)
+        if change is not None and not change.ask:
+            self.pacing.failures = 0
+        return self.apply(change)
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -1,24 +1,38 @@
 """Following a peer that tells things on an answer that stays open: a watch on discovery, the bulletin."""
 
+import contextlib
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
 
 import gevent
 from gevent import socket
-from gevent.queue import SimpleQueue
+from gevent.queue import Empty, SimpleQueue
 
+from myrtleroad.membership.asking import Manner
+from myrtleroad.membership.following import Act, Close, Following, Open, Seen
 from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
 from myrtleroad.net.lookout import Lookout
-from myrtleroad.net.told import UNREADABLE, Address, Moved
+from myrtleroad.net.told import UNREADABLE, Address, Moved, Told
 
 READ = 64 * 1024  # bytes a read: as the shared buffer holds
+LOOK_S = 1.0  # the longest wait of a follower, whatever is due
 CONNECT_S = 1.0  # loopback and a datacentre's network connect in ms; a silent address must not hold for long
 LINE_LIMIT = 1024 * 1024  # a list of some 4,000 machines on one line; noise without line ends stops there
 
 
+class Post(NamedTuple):
+    """What every follower is given: the clock, whom it tells, and where its streams are looked at."""
+
+    clock: Callable[[], float]
+    deliver: Callable[[object], None]
+    lookout: Lookout
+
+
 @dataclass(slots=True)
 class Line:
     stream: "Stream"
@@ -35,18 +49,22 @@
     """One connection to one address. Its greenlet reads whole lines and posts them, then its end; whoever
     must not miss what has come calls ``read_now`` through the lookout, at any moment between two switches."""
 
-    __slots__ = ("answers", "at", "greenlet", "lookout", "post", "rest", "silent_s", "sock", "target", "told")
-
-    def __init__(
-        self,
-        at: Address,
-        target: str,
-        silent_s: float,
-        post: Callable[[object], None],
-        lookout: Lookout,
-    ):
-        self.at, self.target, self.silent_s, self.post = at, target, silent_s, post
-        self.lookout, self.sock = lookout, None
+    __slots__ = (
+        "answers",
+        "at",
+        "greenlet",
+        "lookout",
+        "number",
+        "post",
+        "rest",
+        "sock",
+        "target",
+        "told",
+    )
+
+    def __init__(self, number: int, target: str, follower: "Follower"):
+        self.number, self.at, self.target = number, follower.at, target
+        self.post, self.lookout, self.sock = follower.mailbox.put, follower.lookout, None
         self.answers = head.Answers(stream=True)
         self.rest = b""  # of a line that has not ended
         self.told = False  # whether it has told anything yet
@@ -59,7 +77,7 @@
         sock = None
         try:
             sock = socket.create_connection(self.at, CONNECT_S)
-            sock.settimeout(self.silent_s)
+            sock.settimeout(None)  # its silence is judged by the follower
             head.write(sock, head.call("GET", self.target, head.host(self.at)))
             self.sock = sock
             self.lookout.add(sock.fileno(), self)
@@ -119,31 +137,34 @@
 
 
 class Follower:
-    """An actor that follows one stream. Where a new configuration names another address, the new stream is
-    begun at once and the old one read until the new one has told something or the old one ends, so that
-    nothing told on either is missed."""
+    """An actor that follows one peer's stream as ``membership.Following`` says: it opens and closes streams,
+    posts their words and the passing of time to it, and passes on what they say."""
 
     NAME, ENDED = "", ""  # for log and counters
 
-    def __init__(
-        self,
-        at: Address,
-        counters: Counters,
-        log: Log,
-        deliver: Callable[[object], None],
-        lookout: Lookout,
-    ):
-        self.at, self.counters, self.log, self.deliver = at, counters, log, deliver
-        self.lookout = lookout
-        lookout.settle.append(self.settle)
+    def __init__(self, at: Address, manner: Manner, told: Told, counters: Counters, log: Log, post: Post):
+        self.at, self.counters, self.log = at, counters, log
+        self.clock, self.deliver, self.lookout = post
+        self.following = Following(manner, Random(told.seed).random, self.clock())
+        self.lookout.settle.append(self.settle)
         self.mailbox: SimpleQueue = SimpleQueue()
-        self.now: Stream | None = None
-        self.old: Stream | None = None
+        self.streams: dict[int, Stream] = {}  # by the numbers of following; emptied as each ends
         self.answered = False  # whether the first stream has told something or failed
 
     def run(self) -> None:
+        self.carry(self.following.want(self.clock()))
         while True:
-            self.take(self.mailbox.get())
+            wait = max(0.0, self.following.due() - self.clock()) / 1000
+            message = None
+            if wait > 0 or self.mailbox.qsize():
+                with contextlib.suppress(Empty):
+                    message = self.mailbox.get(timeout=min(wait, LOOK_S))
+            if message is not None:
+                self.take(message)
+            if self.following.due() <= self.clock():
+                # Guards against taking our own standstill for the other side's: what has come is read first.
+                self.lookout.look()
+                self.carry(self.following.tick(self.clock()))
 
     def settle(self) -> None:
         """What waits in the mailbox is taken now, in order, by whoever may not go on without it. ``take``
@@ -152,58 +173,73 @@
             self.take(self.mailbox.get(block=False))
 
     def take(self, message: object) -> None:
+        now = self.clock()
         match message:
             case Moved(at):
                 if at != self.at:
                     self.at = at
-                    self.begin()
+                    self.carry(self.following.moved(now))
             case Line(stream, text):
-                if stream is self.now or stream is self.old:
-                    try:
-                        self.line(stream, text)
-                    except UNREADABLE as error:
-                        stream.close()
-                        self.over(stream, f"unreadable: {type(error).__name__}: {error}")
+                if self.streams.get(stream.number) is stream:
+                    self.carry(self.following.heard(stream.number, now))
+                    self.read(stream, text)
             case Over(stream, why):
-                self.over(stream, why)
+                if self.streams.pop(stream.number, None) is stream:
+                    self.over(stream, why)
             case _:
-                self.asked()
+                self.other(message)
+
+    def read(self, stream: Stream, text: bytes) -> None:
+        try:
+            self.line(stream, text)
+        except UNREADABLE as error:
+            del self.streams[stream.number]
+            stream.close()
+            self.over(stream, f"unreadable: {type(error).__name__}: {error}")
 
-    def begin(self) -> None:
-        if self.now is not None:
-            if self.old is not None:
-                self.old.close()
-            self.old = self.now
-        self.now = self.open()
+    def over(self, stream: Stream, why: str) -> None:
+        self.answered = True
+        self.counters.add(self.ENDED)
+        self.log(f"{self.NAME} lost", at=head.host(stream.at), why=why)
+        self.carry(self.following.ended(stream.number, self.clock(), why))
+        self.parted(stream)
 
     def told(self, stream: Stream, **what: object) -> None:
-        """The stream has told something that could be read."""
+        """The stream has told something that could be read, and its word holds."""
         if not stream.told:
             stream.told = self.answered = True
             self.log(f"{self.NAME} read", at=head.host(stream.at), **what)
-        if stream is self.now and self.old is not None:
-            self.old.close()
-            self.old = None
-
-    def over(self, stream: Stream, why: str) -> None:
-        if stream is self.old:
-            self.old = None
-        elif stream is self.now:
-            self.now, self.answered = None, True
-            self.counters.add(self.ENDED)
-            self.log(f"{self.NAME} lost", at=head.host(stream.at), why=why)
-            self.lost()
-
-    def asked(self) -> None:
-        """To follow, where none is followed."""
-        if self.now is None:
-            self.begin()
-
-    def open(self) -> Stream:
+        self.carry(self.following.told(stream.number, self.clock()))
+
+    def carry(self, acts: list[Act]) -> None:
+        for act in acts:
+            match act:
+                case Open(number):
+                    self.counters.add(f"{self.NAME}_asked")
+                    self.streams[number] = self.open(number)
+                case Close(number, why):
+                    if stream := self.streams.pop(number, None):
+                        stream.close()
+                        if why == "silent":
+                            self.counters.add(self.ENDED)
+                            self.log(f"{self.NAME} lost", at=head.host(stream.at), why=why)
+                            self.answered = True
+                        self.parted(stream)
+                case Seen():
+                    self.seen(act)
+
+    def seen(self, act: Seen) -> None:
+        age = round(self.clock() - act.since, 1)
+        self.log(f"{self.NAME} sight", sight=act.sight.name, age_ms=age, why=act.why)
+
+    def open(self, number: int) -> Stream:
         raise NotImplementedError
 
     def line(self, stream: Stream, text: bytes) -> None:
         raise NotImplementedError
 
-    def lost(self) -> None:
-        raise NotImplementedError
+    def parted(self, stream: Stream) -> None:
+        """A stream has gone, whoever ended it."""
+
+    def other(self, message: object) -> None:
+        raise TypeError(f"not for a follower: {message!r}")
--- a/myrtleroad/net/told.py
+++ b/myrtleroad/net/told.py
@@ -2,7 +2,7 @@
 
 import math
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -40,6 +40,9 @@
     address: Address
     row: i.Row
 
+    def draining(self) -> "Entry":
+        return Entry(self.word, self.address, replace(self.row, status=i.Status.DRAINING))
+
 
 @dataclass(slots=True)
 class Listing:
@@ -93,27 +96,55 @@
     return int(figure(int(value)))
 
 
+def loads(text: bytes) -> dict[str, Any]:
+    """An object in JSON; ValueError where it is anything else."""
+    m = orjson.loads(text)
+    if not isinstance(m, dict):
+        raise ValueError("no object")
+    return m
+
+
+def entry(e: dict[str, Any], zones: dict[str, int], kinds: dict[str, int]) -> Entry:
+    return Entry(
+        word=str(e["instanceId"]),
+        address=address(e["hostPort"]),
+        row=i.Row(
+            machine=-1,
+            status=STATUSES[e["lifecycle"]],
+            build=count(e.get("version_no") or 0),
+            zone=zones.get(e.get("zone"), 0),
+            cell=int(e.get("cell") or 0),
+            kind=kinds.get(e.get("machineType"), 0),
+            weight=figure(e.get("weight", 1.0)),
+            started=figure(e.get("startedAtMs") or 0),
+        ),
+    )
+
+
+def entries(
+    told: list[dict[str, Any]], zones: dict[str, int], kinds: dict[str, int]
+) -> tuple[dict[str, Entry], list[str | None]]:
+    """The entries that can be read, by word, the last of each; and the words of those that cannot, None for
+    one without a word. One bad entry must not hide the drains beside it."""
+    if not isinstance(told, list):
+        raise ValueError("no list of entries")
+    read: dict[str, Entry] = {}
+    unclear: list[str | None] = []
+    for e in told:
+        try:
+            got = entry(e, zones, kinds)
+            read[got.word] = got
+        except UNREADABLE:
+            word = e.get("instanceId") if isinstance(e, dict) else None
+            unclear.append(word if isinstance(word, str) else None)
+            read.pop(word, None) if isinstance(word, str) else None
+    return read, unclear
+
+
 def listing(m: dict[str, Any], zones: dict[str, int], kinds: dict[str, int]) -> Listing:
-    """A list in discovery's form: the watch's lines and the start's ``known``."""
-    entries = [
-        Entry(
-            word=e["instanceId"],
-            address=address(e["hostPort"]),
-            row=i.Row(
-                machine=-1,
-                status=STATUSES[e["lifecycle"]],
-                build=count(e.get("version_no") or 0),
-                zone=zones.get(e.get("zone"), 0),
-                cell=int(e.get("cell") or 0),
-                kind=kinds.get(e.get("machineType"), 0),
-                weight=figure(e.get("weight", 1.0)),
-                started=figure(e.get("startedAtMs") or 0),
-            ),
-        )
-        for e in m["instances"]
-    ]
+    """A list in discovery's form, all of which must be clear: the start's ``known``."""
     kind = i.ListKind.WHOLE if m["reset"] else i.ListKind.CHANGES
-    return Listing(count(m["generation"]), kind, entries)
+    return Listing(count(m["generation"]), kind, [entry(e, zones, kinds) for e in m["instances"]])
 
 
 def stage_news(fields: dict[str, Any], answers_vote: bool = False) -> i.StageNews:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 
 from myrtleroad import interface as i
 from myrtleroad.net import desk, head, roster, stream, told
-from myrtleroad.net.brain import Lost
+from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach
 from myrtleroad.net.lookout import Lookout
@@ -22,19 +22,21 @@
 
 def build_roster(at=("127.0.0.1", 9), **changes):
     said = SimpleQueue()
-    return roster.Roster(build_told(discovery=at, **changes), Counters(), silent, said.put, Lookout()), said
+    post = stream.Post(Clock(), said.put, Lookout())
+    return roster.Roster(build_told(discovery=at, **changes), Counters(), silent, post), said
 
 
 def build_bulletin(at=("127.0.0.1", 9)):
     said = SimpleQueue()
-    return desk.Bulletin(build_told(platform=at), Counters(), silent, said.put, Lookout()), said
+    post = stream.Post(Clock(), said.put, Lookout())
+    return desk.Bulletin(build_told(platform=at), Counters(), silent, post), said
 
 
 class Still(stream.Stream):
     """A stream that no connection feeds; the follower believes that it is read."""
 
-    def __init__(self, follower):
-        super().__init__(("127.0.0.1", 9), "/", 1.0, follower.mailbox.put, follower.lookout)
+    def __init__(self, follower, number):
+        super().__init__(number, "/", follower)
         self.close()
 
 
@@ -47,8 +49,26 @@
 
 
 def following(follower):
-    follower.now = Still(follower)
-    return follower.now
+    follower.open = lambda number: Still(follower, number)
+    if isinstance(follower, roster.Roster):
+        follower.sources[0] = 0
+    follower.carry(follower.following.want(follower.clock()))
+    del follower.open
+    return follower.streams[0]
+
+
+def moved(r, port):
+    r.open = lambda number: Still(r, number)
+    r.sources[r.following.next] = r.following.source + 1
+    r.take(told.Moved(("127.0.0.1", port)))
+    del r.open
+    return r.streams[max(r.streams)]
+
+
+def lists_of(said, kind=told.Listing):
+    """What was delivered so far, of one kind."""
+    got = [said.get() for _ in range(said.qsize())]
+    return [m for m in got if isinstance(m, kind)]
 
 
 def lists(*versions, reset=False):
@@ -59,11 +79,11 @@
 def test_lists_are_read_wherever_their_lines_are_split(cut):
     r, said = build_roster()
     told_by(r, following(r), LINES, cut)
-    first, second = said.get(), said.get()
+    first, second = lists_of(said)
     assert (first.kind, first.version, second.kind) == (i.ListKind.CHANGES, 8, i.ListKind.WHOLE)
     (entry,) = first.entries
     assert (entry.word, entry.address, entry.row.status) == ("s-1", AT, i.Status.DRAINING)
-    assert r.version == 9 and said.empty()
+    assert r.book.version == 9
 
 
 def test_a_watch_asks_from_the_version_it_has_and_its_end_is_told():
@@ -74,60 +94,76 @@
         sock.sendall(CHUNKED + b"%x\r\n" % len(LINES) + LINES + b"\r\n")
 
     r, said = build_roster(Peer(talk).at)
-    gevent.spawn(r.run)
-    r.mailbox.put(i.Watch())
-    kinds = [type(said.get()) for _ in range(3)]
-    assert kinds == [told.Listing, told.Listing, Lost]
+    running = gevent.spawn(r.run)
+    got = [said.get() for _ in range(4)]
+    assert [m.sight for m in got if isinstance(m, i.Sighted)] == [i.Sight.FRESH, i.Sight.BLIND]
+    assert [m.version for m in got if isinstance(m, told.Listing)] == [8, 9]
     assert asked == [b"GET /api/targets?watch=1&after=7 HTTP/1.1"]
+    running.kill()
 
 
-def test_where_changes_come_unasked_the_watch_is_begun_again_by_itself(monkeypatch):
-    monkeypatch.setattr(roster, "AGAIN_S", 0.001)
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+def test_a_watch_that_cannot_be_had_is_asked_for_again(mode):
     peer = Peer(*[lambda sock: None] * 3)
-    r, said = build_roster(peer.at, settings=SETTINGS | {"registry_mode": "pushed"})
+    r, said = build_roster(peer.at, settings=SETTINGS | {"registry_mode": mode})
     running = gevent.spawn(r.run)
-    assert [said.get() for _ in range(3)] == [Lost()] * 3 and peer.met == 3
+    while peer.met < 3:
+        gevent.sleep(0.005)
+    assert r.answered and said.empty() and r.counters.counts["list_asked"] == 3
     running.kill()
 
 
 @pytest.mark.parametrize(
     "answer",
-    [b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"what?\r\n\r\n", b"", CHUNKED + b"3\r\n{]\n\r\n"],
+    [b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"what?\r\n\r\n", CHUNKED + b"3\r\n{]\n\r\n"],
 )
-def test_a_watch_that_fails_is_told_once(answer):
+def test_a_watch_that_fails_ends_once(answer):
     def talk(sock):
         read_req(sock)
         sock.sendall(answer)
         sock.recv(1)
 
-    r, said = build_roster(Peer(talk).at)
-    gevent.spawn(r.run)
-    r.mailbox.put(i.Watch())
-    if not answer:
-        r.mailbox.put(stream.Over(r.now, "silent"))
-        while r.now is None:
-            gevent.sleep(0)
-        r.over(r.now, "silent")
-    assert said.get() == Lost() and r.answered
-    gevent.sleep(0)
-    assert said.empty()
+    r, _ = build_roster(Peer(talk).at)
+    running = gevent.spawn(r.run)
+    while not r.answered:
+        gevent.sleep(0.001)
+    assert r.counters.counts["watches_ended"] == 1 and not r.streams and not r.sources
+    running.kill()
 
 
 @pytest.mark.parametrize(
     "line",
     [
         b"{]",
+        b"[]",
         b'{"generation":1}',
-        b'{"generation":1,"reset":true,"instances":[7]}',
-        orjson.dumps(FIRST | {"instances": [listed("s-1", AT, weight="nan")]}),
-        orjson.dumps(FIRST | {"instances": [listed("s-1", AT, hostPort="127.0.0.1:70000")]}),
-        orjson.dumps(FIRST | {"instances": [listed("s-1", AT), listed("s-2", AT, lifecycle="noise")]}),
+        b'{"generation":-1,"reset":true,"instances":[]}',
+        b'{"generation":1,"reset":true,"instances":{}}',
     ],
 )
 def test_a_line_that_cannot_be_read_ends_the_watch_and_nothing_of_it_is_applied(line):
     r, said = build_roster()
     told_by(r, following(r), line + b"\n" + LINES)
-    assert said.get() == Lost() and said.empty() and r.now is None and r.version == 7
+    assert not lists_of(said) and not r.streams and r.book.version == 7
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"weight": "nan"},
+        {"hostPort": "127.0.0.1:70000"},
+        {"lifecycle": "noise"},
+        {"startedAtMs": "soon"},
+    ],
+)
+def test_an_entry_that_cannot_be_read_shuts_its_machine_and_hides_nothing_beside_it(bad):
+    r, said = build_roster()
+    rows = [listed("s-1", AT), listed("s-2", AT)]
+    told_by(r, following(r), orjson.dumps(FIRST | {"instances": rows}) + b"\n")
+    rows = [listed("s-1", AT) | bad, listed("s-2", AT, lifecycle="terminating"), 7]
+    told_by(r, r.streams[0], orjson.dumps(FIRST | {"generation": 9, "instances": rows}) + b"\n")
+    statuses = {e.word: e.row.status for e in lists_of(said)[-1].entries}
+    assert statuses == {"s-1": i.Status.DRAINING, "s-2": i.Status.DRAINING} and r.fetching and r.streams
 
 
 def test_a_line_without_end_ends_its_connection(monkeypatch):
@@ -154,52 +190,49 @@
         gevent.sleep(0.001)
     told_by(r, old, lists(9))
     assert asked == [b"GET /api/targets?watch=1&after=8 HTTP/1.1"]
-    assert [said.get().version, said.get().version] == [8, 9]
+    assert [m.version for m in lists_of(said)] == [8, 9]
     told_new.set()
     r.take(r.mailbox.get())
-    assert said.get().version == 10 and r.old is None
+    assert [m.version for m in lists_of(said)] == [10] and list(r.streams) == [1]
     told_by(r, old, lists(11))
     assert said.empty()
-    r.now.close()
 
 
 def test_an_older_list_never_goes_over_a_newer_one_while_two_addresses_tell():
     r, said = build_roster()
-    r.old, r.now = Still(r), Still(r)
-    told_by(r, r.old, lists(9))
-    told_by(r, r.now, lists(8, reset=True))
-    assert said.get().version == 9 and said.empty() and r.old is not None
-    r.mailbox.put(stream.Over(r.old, "ended"))
-    told_by(r, r.now, lists(8, reset=True))  # a sole one's word stands, whatever its numbers
-    assert said.get().version == 8 and said.empty()
+    old = following(r)
+    told_by(r, old, lists(9))
+    new = moved(r, 10)
+    told_by(r, new, lists(8, reset=True))
+    assert [m.version for m in lists_of(said)] == [9] and list(r.streams) == [0, 1]
+    r.mailbox.put(stream.Over(old, "ended"))
+    told_by(r, new, b"")  # a sole one's word stands, whatever its numbers
+    assert [m.version for m in lists_of(said)] == [8] and r.book.source == 1
 
 
-def test_a_new_address_that_fails_is_told_and_a_second_move_wins():
-    r, said = build_roster()
-    first = following(r)
+def test_a_new_address_that_fails_leaves_the_old_watch_and_a_second_move_wins():
+    r, _ = build_roster()
+    old = following(r)
+    told_by(r, old, lists(9))
     for port in (10, 11):
-        r.take(told.Moved(("127.0.0.1", port)))
-    assert r.now.at == ("127.0.0.1", 11) and r.old is not first
-    r.take(stream.Over(r.now, "refused"))
-    assert said.get() == Lost() and r.old is not None
-    r.take(i.Watch())
-    assert r.now.at == ("127.0.0.1", 11)
-    r.now.close()
-    r.old.close()
+        new = moved(r, port)
+    assert new.at == ("127.0.0.1", 11) and r.streams[0] is old
+    r.take(stream.Over(new, "refused"))
+    assert r.following.sight == i.Sight.FRESH and r.following.due() < r.clock() + 500
 
 
 @pytest.mark.parametrize("cut", range(1, len(EVENT)))
 def test_the_bulletin_is_read_wherever_it_is_split(cut):
     b, said = build_bulletin()
     told_by(b, following(b), EVENT, cut)
-    assert said.get() == i.StageNews(i.End.COMPLETED, False, 42, 1, i.Phase.ON_TRIAL, 0.28, 310.0)
+    assert [said.get()] == [i.StageNews(i.End.COMPLETED, False, 42, 1, i.Phase.ON_TRIAL, 0.28, 310.0)]
     assert said.empty()
 
 
 def test_other_kinds_of_news_are_counted_and_passed_over():
     b, said = build_bulletin()
     told_by(b, following(b), b":\nevent: metrics\ndata: Revision=1\n\n" + EVENT)
-    assert said.get().build == 42 and b.counters.counts == {"bulletin_unknown": 1}
+    assert said.get().build == 42 and b.counters.counts["bulletin_unknown"] == 1
 
 
 @pytest.mark.parametrize(
@@ -217,7 +250,7 @@
 def test_noise_ends_the_bulletin_and_nothing_behind_it_is_believed(noise):
     b, said = build_bulletin()
     told_by(b, following(b), noise + EVENT)
-    assert said.empty() and b.now is None and b.counters.counts["bulletins_ended"] == 1
+    assert said.empty() and not b.streams and b.counters.counts["bulletins_ended"] == 1
 
 
 def xml(code):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -110,10 +110,37 @@
     assert balancer.cast(vote, 5000.0) == [vote]
 
 
-def test_failed_watch_is_asked_again(balancer):
-    balancer.listed(i.Listed(i.ListKind.FAILED), 0.0)
-    assert not any(isinstance(a, i.Watch) for a in balancer.wake(100.0))
-    assert any(isinstance(a, i.Watch) for a in balancer.wake(1600.0))
+def test_blind_past_the_window_machines_that_took_work_come_first(balancer):
+    for machine, linked, took in [(0, 900.0, 900.0), (1, 900.0, 100.0), (2, -9e9, -9e9)]:
+        balancer.machines[machine].linked, balancer.machines[machine].took = linked, took
+    balancer.sighted(i.Sighted(i.Sight.BLIND, 500.0), 600.0)
+    within = {next(balancer.serve(req(n), 700.0)).machine for n in range(12)}
+    past = {next(balancer.serve(req(n), 1000.0)).machine for n in range(100, 112)}
+    assert len(within) > 1 and past == {0}
+    balancer.machines[0].took = 0.0
+    assert {next(balancer.serve(req(n), 1000.0)).machine for n in range(200, 212)} <= {0, 1}
+    for m in balancer.machines.values():
+        m.linked = -9e9
+    assert next(balancer.serve(req(300), 1000.0)).machine in (0, 1, 2)
+    balancer.sighted(i.Sighted(i.Sight.FRESH, 1000.0), 1000.0)
+    assert not balancer.blind(5000.0)
+
+
+def test_blind_a_machine_that_turns_reqs_away_is_left_alone(balancer):
+    balancer.sighted(i.Sighted(i.Sight.BLIND, 0.0), 0.0)
+    life = balancer.serve(req(1), 1000.0)
+    machine = next(life).machine
+    balancer.observe(1, i.Ended(machine, 0, i.End.FULL, 5.0, None, False), 1005.0)
+    assert balancer.machines[machine].ejected_until > 1005.0
+
+
+def test_a_try_withdrawn_before_its_first_byte_costs_no_retry(balancer):
+    balancer.spare_tries = 0.0
+    life = balancer.serve(req(1), 0.0)
+    act = next(life)
+    ended = i.Ended(act.machine, 0, i.End.MOOT, 1.0, None, False)
+    balancer.observe(1, ended, 1.0)
+    assert isinstance(life.send((1.0, ended)), i.Send)
 
 
 def test_trial_tries_that_hang_do_not_close_the_door(balancer):
@@ -334,3 +361,14 @@
 def test_counts_of_no_tries_are_ignored(balancer):
     balancer.tally(i.Tally(9, 0, 0, 0, 0.0, 0.0), 0.0)
     assert not balancer.judge.told and not balancer.judge.counts.any()
+
+
+def test_the_trials_extra_part_falls_with_the_strain(balancer):
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=1.0), 0.0)
+    balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
+    parts = []
+    for strain in (0.0, balancer.TARGET / 2, balancer.TARGET, 2 * balancer.TARGET):
+        balancer.strain = strain
+        balancer.share_out(1000.0)
+        parts.append(4 * balancer.part)  # the trial has a quarter of the machines
+    assert parts == pytest.approx([1.35, 1.175, 1.0, 1.0])
