Mend two grown deployments: others' load fades to none, the extra part stays where counts come

Change: others' load fades to none, gain 0.3; the extra part falls with the strain only where no counts come.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -202,11 +202,10 @@
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
-        self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
+        self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
         self.strain = 0.0  # recent times over objectives, by route and how many were seen
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
-        self.alike = facts.balancers - 1 if facts.load_column is not None else 0  # fronts that send alike
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
@@ -346,7 +345,7 @@
         route, share = self.facts.routes[r], min(ended.took_ms / self.facts.routes[r].objective_ms, 1.5)
         self.open -= not apart
         if ended.load is not None:
-            m.others += 0.1 * (ended.load - len(m.out) - m.others)
+            m.others += 0.3 * (ended.load - len(m.out) - m.others)
         if ended.end == End.TIMEOUT and share < 0.9:
             return  # the client's own patience was short: nothing is known of machine, build or queue
         if done:
@@ -402,7 +401,7 @@
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
-        m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
+        m.others = m.others * 0.93**ticks  # what is not seen fades
         m.known, m.pace = m.known * 0.99**ticks, (pace := 1 + (m.pace - 1) * 0.99**ticks)
         if m.out:
             oldest = next(iter(m.out.values()))
@@ -451,7 +450,9 @@
             return
         size = [sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in x) for x in self.sides.values()]
         # Guards against judging our own push: on busy machines a third more tries is a queue, not a build.
-        part = 1 + (self.PART - 1) * max(0.0, 1 - self.strain / self.TARGET)
+        # Counts, where there are any, judge at twice the slowness and want the tries.
+        calm = 1.0 if self.facts.rollout.counts_every_ms else max(0.0, 1 - self.strain / self.TARGET)
+        part = 1 + (self.PART - 1) * calm
         self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], part * size[1] / sum(size))
 
     def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
@@ -507,7 +508,6 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
-        self.peers = self.mean_open * self.alike / max(1, len(self.machines))
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
