--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -345,7 +345,7 @@
         route, share = self.facts.routes[r], min(ended.took_ms / self.facts.routes[r].objective_ms, 1.5)
         self.open -= not apart
         if ended.load is not None:
-            m.others += 0.3 * (ended.load - len(m.out) - m.others)
+            m.others += 0.1 * (ended.load - len(m.out) - m.others)
         if ended.end == End.TIMEOUT and share < 0.9:
             return  # the client's own patience was short: nothing is known of machine, build or queue
         if done:
--- a/tests/test_lists_first.py
+++ b/tests/test_lists_first.py
@@ -2,14 +2,22 @@
 
 import os
 import socket as plain
+import struct
+import time
 
 import gevent
 import orjson
 import pytest
-from conftest import build_told, listed, news_line
+from conftest import build_told, listed, news_line, silent
 from gevent import socket
+from gevent.event import Event
 
-from myrtleroad.net import front
+from myrtleroad import interface as i
+from myrtleroad.net import brain, front, machine
+from myrtleroad.net.clock import Clock
+from myrtleroad.net.counters import Counters
+from myrtleroad.net.head import Message
+from myrtleroad.net.told import Moved, listing
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CROWD = 150  # clients: more than the loop looks at in one turn
@@ -197,3 +205,133 @@
     sock.shutdown(socket.SHUT_RDWR)
     met, _ = h.answered()
     assert met[0] == 0 and h.front.counters.counts["watches_ended"] == 1
+
+
+def reset(sock):
+    """Ends the connection so that what the other side has not read yet is lost."""
+    sock.setsockopt(plain.SOL_SOCKET, plain.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.mark.parametrize("line", ["whole", "half"])
+def test_a_drain_lost_in_a_reset_is_had_again_within_the_window(held, line):
+    h = held()
+    h.warm(20)
+    h.rows.append(listed("s-2", h.second.at))
+    gevent.sleep(1.1 - (h.front.clock() - h.front.roster.following.streams[0].told) / 1000)  # it stood
+    sock, text = h.discovery.conns.pop(), h.listing(9, {"lifecycle": "terminating"}, {})
+    sock.send(text if line == "whole" else text[:90])
+    reset(sock)
+    at = h.front.clock()
+    again = h.discovery.opened()
+    assert h.front.clock() - at < 100.0  # told counts from the lost write: 250 ms from it
+    again.send(HEAD + text)
+    gevent.sleep(0.02)
+    h.ask()
+    met, _ = h.answered()
+    assert met[0] == 0 and met[1] > 0 and h.front.roster.following.sight == i.Sight.FRESH
+
+
+def test_a_loop_held_for_300_ms_takes_no_silence_for_the_other_sides(held):
+    h = held()
+    h.warm(CROWD)
+    h.rows.append(listed("s-2", h.second.at))
+    h.front.roster.following.streams[0].heard -= 4400.0  # almost two signs ago
+    h.discovery.conns[0].send(h.listing(9, {"lifecycle": "terminating"}, {}))
+    h.ask()
+    time.sleep(0.3)
+    met, _ = h.answered()
+    assert met[0] == 0 and h.front.counters.counts["watches_ended"] == 0
+
+
+def test_four_hundred_machines_drain_in_one_line_longer_than_a_read(held):
+    h = held()
+    h.warm(CROWD)
+    h.rows += [listed(f"s-{n}", ("127.0.0.1", 9)) for n in range(10, 410)]
+    h.rows.append(listed("s-2", h.second.at))
+    gone = [{"lifecycle": "terminating"}] * 401 + [{}]
+    text = h.listing(9, *gone)
+    assert len(text) > 64 * 1024
+    sock = h.discovery.conns[0]
+    sock.setsockopt(plain.SOL_SOCKET, plain.SO_SNDBUF, 1 << 20)
+    assert sock.send(text) == len(text)
+    h.ask()
+    met, _ = h.answered()
+    assert met[0] == 0 and met[1] > 0
+
+
+def test_a_try_that_waits_for_its_connection_is_not_written_once_its_machine_drains(held, monkeypatch):
+    h, go, waits = held(), Event(), []
+    connect = machine.Machine.connect
+
+    def late(self, job):
+        waits.append(job)
+        go.wait()
+        return connect(self, job)
+
+    monkeypatch.setattr(machine.Machine, "connect", late)
+    h.connect(5)
+    h.ask()
+    while len(waits) < 5:
+        gevent.sleep(0.001)
+    h.rows.append(listed("s-2", h.second.at))
+    h.discovery.conns[0].send(h.listing(9, {"lifecycle": "terminating"}, {}))
+    gevent.sleep(0.3)  # past the drain window
+    go.set()
+    met, got = h.answered()
+    assert met == [0, 5] and got == [b"HTTP/1.1 200"] * 5
+    assert h.front.counters.counts["sends_stopped_by_list"] == 5
+
+
+def test_a_machine_that_goes_and_returns_under_its_id_gets_nothing_meant_for_the_one_before(held):
+    h = held()
+    h.warm(CROWD)
+    h.ask()
+    text = b"".join(
+        h.listing(9 + n, change)
+        for n, change in enumerate(
+            [{"lifecycle": "terminating"}, {"lifecycle": "terminated"}, {"version_no": 2, "startedAtMs": 5}]
+        )
+    )
+    h.discovery.conns[0].send(text)
+    met, _ = h.answered()
+    known = next(iter(h.front.brain.balancer.machines.values()))
+    assert known.row.build == 2 and met[0] <= 2 + len(h.clients) * 0.1  # the first stage's cap, and 2 free
+
+
+def test_a_thousand_reqs_in_the_mailbox_wait_behind_a_list():
+    b = brain.Brain(build_told(listed("s-1", ("127.0.0.1", 9))), Clock(), Counters(), silent)
+    b.start()
+    running = gevent.spawn(b.run)
+    gevent.sleep(0.001)
+    answers = []
+    for n in range(1000):
+        rq = i.Req(n, 0, 0, None, b.clock() + 1000.0, 0.0, False)
+        b.mailbox.put(brain.Taken(rq, Message(fields={b"x-txn": b"%d" % n}), b.clock(), answers.append))
+    m = {
+        "generation": 8,
+        "reset": False,
+        "instances": [listed("s-1", ("127.0.0.1", 9), lifecycle="terminating")],
+    }
+    b.tell(listing(m, {"here": 0}, {"small": 0}))
+    gevent.sleep(0.001)
+    while b.mailbox.qsize():
+        gevent.sleep(0.001)
+    assert b.counters.counts["tries"] == 0 and len(answers) == 1000
+    running.kill()
+
+
+def test_a_signal_between_a_reset_and_the_next_watch_moves_it_at_once(held):
+    h, other = held(), Listener()
+    h.warm(1)
+    reset(h.discovery.conns.pop())
+    h.front.roster.mailbox.put(Moved(other.at))
+    text = h.listing(3, reset=True)  # a numbering of its own
+    other.opened().send(HEAD + text)
+    h.rows.append(listed("s-2", h.second.at))
+    gevent.sleep(0.02)
+    other.conns[0].send(h.listing(4, {"lifecycle": "terminating"}, {}))
+    gevent.sleep(0.02)
+    h.ask()
+    met, _ = h.answered()
+    assert met == [0, 1] and h.front.roster.book.version == 4
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -303,7 +303,7 @@
         reported(balancer, 0, 0.0 if n % 2 else 4.0, 100 + n)  # told of the time before
         for k in range(4):
             m.out.pop((k, 1), None)
-    assert abs(m.others) < 1.0  # of 4 out; a clamp at 0 settles at 2
+    assert abs(m.others) < 0.5  # of 4 out; a clamp at 0 settles at 2
 
 
 def test_what_was_reported_of_a_machine_fades_where_nothing_more_is_heard(balancer):
