--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -202,7 +202,9 @@
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
-        self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
+        self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
+        # Fronts taken to send alike, two at most: of more the guess outweighs what is known (docs/design.md).
+        self.alike = min(2, facts.balancers - 1) if facts.load_column is not None else 0
         self.strain = 0.0  # recent times over objectives, by route and how many were seen
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
@@ -401,7 +403,7 @@
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
-        m.others = m.others * 0.93**ticks  # what is not seen fades
+        m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
         m.known, m.pace = m.known * 0.99**ticks, (pace := 1 + (m.pace - 1) * 0.99**ticks)
         if m.out:
             oldest = next(iter(m.out.values()))
@@ -508,6 +510,7 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
+        self.peers = self.mean_open * self.alike / max(1, len(self.machines))
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
