--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -77,9 +77,9 @@
         self.counters.add("reloads")
         kept = fixed(self.told, new)
         self.log("reload", discovery=new.discovery, platform=new.platform, kept_as_started=kept)
-        self.roster.mailbox.put(Moved(new.discovery))
-        for actor in (self.bulletin, self.desk):
-            actor.mailbox.put(Moved(new.platform))
+        self.roster.post(Moved(new.discovery))
+        self.bulletin.post(Moved(new.platform))
+        self.desk.mailbox.put(Moved(new.platform))
 
     def drain(self) -> None:
         """Answer whatever comes while connections may still arrive, then what is held, then end."""
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -104,7 +104,7 @@
             pause = self.pacing.pause(None)
             self.log("list whole asked", why=change.ask, in_ms=round(pause, 1))
             source = self.following.source
-            gevent.spawn_later(pause / 1000, lambda: self.mailbox.put(self.fetch(source)))
+            gevent.spawn_later(pause / 1000, lambda: self.post(self.fetch(source)))
 
     def fetch(self, source: int) -> Fetched:
         """The whole list, in one call of its own."""
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -1,6 +1,5 @@
 """Following a peer that tells things on an answer that stays open: a watch on discovery, the bulletin."""
 
-import contextlib
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,7 +8,8 @@
 
 import gevent
 from gevent import socket
-from gevent.queue import Empty, SimpleQueue
+from gevent.event import Event
+from gevent.queue import SimpleQueue
 
 from myrtleroad.membership.asking import Manner
 from myrtleroad.membership.following import Act, Close, Following, Open, Seen
@@ -64,7 +64,7 @@
 
     def __init__(self, number: int, target: str, follower: "Follower"):
         self.number, self.at, self.target = number, follower.at, target
-        self.post, self.lookout, self.sock = follower.mailbox.put, follower.lookout, None
+        self.post, self.lookout, self.sock = follower.post, follower.lookout, None
         self.answers = head.Answers(stream=True)
         self.rest = b""  # of a line that has not ended
         self.told = False  # whether it has told anything yet
@@ -148,6 +148,7 @@
         self.following = Following(manner, Random(told.seed).random, self.clock())
         self.lookout.settle.append(self.settle)
         self.mailbox: SimpleQueue = SimpleQueue()
+        self.wake = Event()  # set when something was posted or taken: what is due may have changed
         self.streams: dict[int, Stream] = {}  # by the numbers of following; emptied as each ends
         self.answered = False  # whether the first stream has told something or failed
 
@@ -155,22 +156,25 @@
         self.carry(self.following.want(self.clock()))
         while True:
             wait = max(0.0, self.following.due() - self.clock()) / 1000
-            message = None
-            if wait > 0 or self.mailbox.qsize():
-                with contextlib.suppress(Empty):
-                    message = self.mailbox.get(timeout=min(wait, LOOK_S))
-            if message is not None:
-                self.take(message)
+            self.wake.wait(min(wait, LOOK_S))
+            self.wake.clear()
+            self.settle()
             if self.following.due() <= self.clock():
                 # Guards against taking our own standstill for the other side's: what has come is read first.
                 self.lookout.look()
                 self.carry(self.following.tick(self.clock()))
 
+    def post(self, message: object) -> None:
+        self.mailbox.put(message)
+        self.wake.set()
+
     def settle(self) -> None:
         """What waits in the mailbox is taken now, in order, by whoever may not go on without it. ``take``
         never switches, so nobody is found in the middle of it."""
         while self.mailbox.qsize():
             self.take(self.mailbox.get(block=False))
+            # Guards against a follower that sleeps on past what this message made due.
+            self.wake.set()
 
     def take(self, message: object) -> None:
         now = self.clock()
--- a/tests/test_lists_first.py
+++ b/tests/test_lists_first.py
@@ -325,7 +325,7 @@
     h, other = held(), Listener()
     h.warm(1)
     reset(h.discovery.conns.pop())
-    h.front.roster.mailbox.put(Moved(other.at))
+    h.front.roster.post(Moved(other.at))
     text = h.listing(3, reset=True)  # a numbering of its own
     other.opened().send(HEAD + text)
     h.rows.append(listed("s-2", h.second.at))
