Versions of what operators set: document, rules, ledger, frames, rings; config check, diff, show

Change, all of it free of I/O: a KDL 2 reader with places that works in slices (ckdl reads values, our scanner finds nodes, as no library tells positions of KDL 2); a schema that tells every mistake at once; rules by which a version may only narrow; contents as persistent maps with differences; the ledger of a front (one final answer an offer, commit-confirmed, epochs); frames; rings and halts of a rollout. Command line for files.

Not on any front yet.

--- a/myrtleroad/__main__.py
+++ b/myrtleroad/__main__.py
@@ -1,5 +1,6 @@
 """The command line: serve, version, check."""
 
+import importlib
 import os
 import sys
 
@@ -8,7 +9,23 @@
 from myrtleroad import __version__
 
 
-@click.group()
+class Late(click.Group):
+    """Groups whose modules load only when they are called: a front fits 64 MB."""
+
+    def __init__(self, *args, late: dict[str, str], **kwargs):
+        super().__init__(*args, **kwargs)
+        self.late = late
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.late])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in self.late:
+            return super().get_command(ctx, name)
+        return getattr(importlib.import_module(self.late[name]), name)
+
+
+@click.group(cls=Late, late={"config": "myrtleroad.config.commands"})
 def main() -> None:
     """myrtleroad, a proxy that tries out new builds on live traffic."""
 
--- /dev/null
+++ b/myrtleroad/config/commands.py
@@ -0,0 +1,135 @@
+"""``myrtleroad config``: check, compare and show versions. Exit codes: 0 fine, 1 something is at fault
+or differs, 2 the command itself was wrong (click's own)."""
+
+from pathlib import Path as File
+
+import click
+import orjson
+
+from myrtleroad.config import entries, rules, version
+from myrtleroad.config.document import Fault
+from myrtleroad.config.scan import MOST_BYTES
+
+
+def text_of(file: str) -> bytes:
+    """A file's bytes, one more than a document may have at most: a file without end is not read whole."""
+    with File(file).open("rb") as f:
+        return f.read(MOST_BYTES + 1)
+
+
+def told_by(node_config: str | None) -> rules.Told | None:
+    """What a front with this configuration is told; None where none is named."""
+    if node_config is None:
+        return None
+    from myrtleroad.net import told
+
+    try:
+        return told.read(node_config).bounds()
+    except told.Unclear as fault:
+        raise click.ClickException(str(fault)) from None
+
+
+def row(fault: Fault, file: str) -> dict:
+    return {"file": file, "line": fault.line, "column": fault.column, "code": fault.code, "text": fault.text}
+
+
+def dump(value: object) -> None:
+    click.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+FILE = click.Path(exists=True, dir_okay=False, readable=True)
+JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+AGAINST = click.option("--against", type=FILE, help="Hold it against what this NODE_CONFIG tells a front.")
+
+
+@click.group()
+def config() -> None:
+    """Versions of what operators set."""
+
+
+@config.command()
+@click.argument("files", nargs=-1, required=True, type=FILE)
+@AGAINST
+@JSON
+@click.pass_context
+def check(ctx: click.Context, files: tuple[str, ...], against: str | None, as_json: bool) -> None:
+    """Say everything that is wrong with each file. Exit code 1 where anything is."""
+    told, rows = told_by(against), []
+    for file in files:
+        found = version.read(text_of(file), told)
+        rows += [(f, file) for f in found.faults]
+        if not as_json and not found.faults:
+            click.echo(f"{file}: version {found.number}, {len(found.entries)} entries, fine")
+    if as_json:
+        dump([row(f, file) for f, file in rows])
+    else:
+        for f, file in rows:
+            click.echo(f.said(file))
+    ctx.exit(1 if rows else 0)
+
+
+def sound(file: str) -> version.Version:
+    found = version.read(text_of(file))
+    if found.faults:
+        lines = "\n".join(f.said(file) for f in found.faults[:20])
+        raise click.ClickException(f"not a sound version:\n{lines}")
+    return found
+
+
+@config.command()
+@click.argument("old", type=FILE)
+@click.argument("new", type=FILE)
+@JSON
+@click.pass_context
+def diff(ctx: click.Context, old: str, new: str, as_json: bool) -> None:
+    """What NEW sets and drops against OLD, whatever their order and layout. Exit code 1 where they differ."""
+    a, b = sound(old), sound(new)
+    delta = entries.diff(a.entries, b.entries)
+    if as_json:
+        dump(
+            {
+                "set": [{"path": p, "was": a.entries.get(p), "now": v} for p, v in sorted(delta.set.items())],
+                "dropped": [{"path": p, "was": a.entries[p]} for p in delta.dropped],
+            }
+        )
+    else:
+        for path, value in sorted(delta.set.items()):
+            mark, was = ("~", f"{a.entries[path]!r} -> ") if path in a.entries else ("+", "")
+            click.echo(f"{mark} {' '.join(path)}: {was}{value!r}")
+        for path in delta.dropped:
+            click.echo(f"- {' '.join(path)}: {a.entries[path]!r}")
+    ctx.exit(1 if len(delta) else 0)
+
+
+@config.command()
+@click.argument("file", type=FILE)
+@click.option("--against", type=FILE, required=True, help="The NODE_CONFIG of a front.")
+@JSON
+def show(file: str, against: str, as_json: bool) -> None:
+    """The values that would be in effect at a front, and where each comes from."""
+    told, found = told_by(against), sound(file)
+    bounds = rules.effective(found.entries, told)
+    rows = [
+        (kind, name, what, bound)
+        for kind, group in (("route", bounds.routes), ("tenant", bounds.tenants))
+        for name, values in group.items()
+        for what, bound in values.items()
+    ]
+    rows.append(("trial", "", "most-share", bounds.trial_share))
+    shown = []
+    for kind, name, what, bound in rows:
+        path = (kind, name, what) if name else (kind, what)
+        line, column = found.where.get(path, (0, 0))
+        origin = f"{file}:{line}:{column}" if bound.by == "version" else "told"
+        value = bound.value if bound.value != float("inf") else None
+        shown.append({"path": " ".join(path), "value": value, "from": origin})
+    shown += [
+        {"path": f"aside machine {m}", "value": True, "from": file} for m in sorted(bounds.machines_aside)
+    ]
+    shown += [{"path": f"aside zone {z}", "value": True, "from": file} for z in sorted(bounds.zones_aside)]
+    if as_json:
+        dump(shown)
+        return
+    for r in shown:
+        value = "no bound" if r["value"] is None else r["value"]
+        click.echo(f"{r['path']}: {value} ({r['from']})")
--- a/myrtleroad/net/told.py
+++ b/myrtleroad/net/told.py
@@ -4,13 +4,16 @@
 import os
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from myrtleroad import interface as i
 from myrtleroad.facts import facts, ms
 
+if TYPE_CHECKING:
+    from myrtleroad.config import rules
+
 Address = tuple[str, int]
 PHASES = {
     "trial": i.Phase.ON_TRIAL,
@@ -76,6 +79,24 @@
     connect_ms: float
     idle_ms: float
 
+    def bounds(self) -> "rules.Told":
+        """What a version of what operators set is held against."""
+        from myrtleroad.config import rules
+
+        return rules.Told(
+            routes={
+                name.decode(): rules.RouteTold(r.objective_ms, r.timeout_ms)
+                for name, r in zip(self.routes, self.facts.routes, strict=True)
+            },
+            tenants={
+                name.decode(): t.quota_per_s for name, t in zip(self.tenants, self.facts.tenants, strict=True)
+            },
+            zones=tuple(self.zones),
+            most_tries=self.facts.max_tries,
+            caps=self.facts.rollout.caps,
+            cap=self.news.cap if self.news.phase == i.Phase.ON_TRIAL else None,
+        )
+
 
 def address(text: str) -> Address:
     host, _, port = text.rpartition(":")
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,128 @@
+"""Rings, halts and the way back, in virtual time."""
+
+from random import Random
+
+import pytest
+
+from myrtleroad.config.ledger import NONE, Name
+from myrtleroad.control.rollout import Finished, Halted, Phase, Plan, Rollout, Send, Stand
+
+ONE, TWO, THREE = Name(1, 1), Name(1, 2), Name(1, 3)
+
+
+def rollout(fronts=10, rings=(0.3, 1.0), **changes):
+    r = Rollout(Plan(rings=rings, watch_ms=1000.0, **changes), ONE)
+    for n in range(fronts):
+        r.hello(f"n{n}", ONE, 0.0)
+    return r
+
+
+def sent(acts):
+    return [a.front for a in acts if isinstance(a, Send)]
+
+
+def test_a_good_version_goes_ring_by_ring():
+    r = rollout()
+    first = sent(r.publish(TWO, 0.0))
+    assert first == ["n0", "n1", "n2"]
+    for f in first:
+        assert r.answered(f, TWO, True, "", "", 10.0) == []
+    assert r.tick(1009.0) == []
+    second = sent(r.tick(1010.0))
+    assert len(second) == 7
+    for f in second:
+        r.answered(f, TWO, True, "", "", 1020.0)
+    assert r.tick(2020.0) == [Finished(TWO)] and r.phase == Phase.DONE
+
+
+def test_a_bad_ring_of_three_out_of_ten_halts_before_the_other_seven():
+    r = rollout()
+    acts = []
+    for f in sent(r.publish(TWO, 0.0)):
+        acts += r.answered(f, TWO, False, "widens", "too much", 10.0)
+    assert isinstance(acts[0], Halted) and "widens" in acts[0].why and r.phase == Phase.HALTED
+    assert r.tick(60_000.0) == [] and {f.stand for f in r.fronts.values()} >= {Stand.WAITING}
+    assert sum(f.stand != Stand.WAITING for f in r.fronts.values()) == 3
+    assert sent(r.publish(THREE, 70_000.0)) == ["n0", "n1", "n2"]  # the way back, under a new number
+
+
+@pytest.mark.parametrize("how", ["silent", "gone", "back"])
+def test_fronts_lost_in_a_ring_halt_it_too(how):
+    r = rollout()
+    for f in sent(r.publish(TWO, 0.0)):
+        if how != "silent":
+            r.answered(f, TWO, True, "", "", 10.0)
+        if how == "gone":
+            r.gone(f, 20.0)
+    if how == "back":
+        acts = r.went_back("n1", TWO, ONE, "not confirmed in time", 500.0)
+    else:
+        assert r.tick(9000.0) == [] or how == "silent"
+        acts = r.tick(20_000.0)
+    assert any(isinstance(a, Halted) for a in acts) and not sent(acts)
+
+
+def test_a_front_that_restarts_within_its_time_is_offered_again_and_not_counted():
+    r = rollout()
+    ring = sent(r.publish(TWO, 0.0))
+    for f in ring:
+        r.answered(f, TWO, True, "", "", 10.0)
+    r.gone("n1", 20.0)
+    acts = r.hello("n1", ONE, 5000.0)
+    assert sent(acts) == ["n1"] and r.phase == Phase.ROLLING
+    r.answered("n1", TWO, True, "", "", 5010.0)
+    assert len(sent(r.tick(6010.0))) == 7
+
+
+def test_one_refusal_of_ten_is_borne_where_the_plan_says_so():
+    r = rollout(fronts=20, rings=(0.5, 1.0), bad_share=0.1)
+    for n, f in enumerate(sent(r.publish(TWO, 0.0))):
+        r.answered(f, TWO, n > 0, "range", "old build", 10.0)
+    assert len(sent(r.tick(1010.0))) == 10 and r.phase == Phase.ROLLING
+
+
+def test_a_front_that_comes_late_gets_what_all_hold_and_a_new_one_its_ring():
+    r = rollout(fronts=3, rings=(1.0,))
+    for f in sent(r.publish(TWO, 0.0)):
+        r.answered(f, TWO, True, "", "", 10.0)
+    assert r.tick(1010.0) == [Finished(TWO)]
+    assert sent(r.hello("late", NONE, 2000.0)) == ["late"]
+    r = rollout()
+    r.publish(TWO, 0.0)
+    assert r.hello("zz", NONE, 5.0) == [Send("zz", ONE)]  # its ring has not come: what all should hold
+
+
+def test_names_must_go_up_and_plans_must_make_sense():
+    r = rollout()
+    r.publish(TWO, 0.0)
+    with pytest.raises(ValueError):
+        r.publish(TWO, 1.0)
+    assert Plan().faults() == []
+    assert len(Plan(rings=(0.5, 0.4), bad_share=1.0, watch_ms=-1.0).faults()) == 3
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_whatever_comes_no_ring_is_passed_with_more_bad_fronts_than_the_plan_bears(seed):
+    r, random, now = rollout(fronts=12, rings=(0.25, 0.5, 1.0), bad_share=0.2), Random(seed), 0.0
+    acts, passed = r.publish(TWO, now), 0
+    pending = sent(acts)
+    for _ in range(400):
+        now += random.expovariate(1 / 300)
+        what, name = random.random(), f"n{random.randrange(12)}"
+        ring = r.ring
+        if pending and what < 0.6:
+            acts = r.answered(pending.pop(), TWO, random.random() > 0.1, "range", "", now)
+        elif what < 0.7:
+            acts = r.gone(name, now)
+        elif what < 0.8 and not r.fronts[name].stands:
+            acts = r.hello(name, r.fronts[name].holds, now)
+        else:
+            acts = r.tick(now)
+        pending += [f for f in sent(acts) if f not in pending]
+        if r.ring > ring or r.phase == Phase.DONE:
+            passed += 1
+            bad = sum(f.stand in (Stand.REFUSED, Stand.BACK, Stand.LOST) for f in r.fronts.values())
+            assert bad <= 0.2 * len(r.members(r.ring))
+        if r.phase == Phase.HALTED:
+            assert not sent(r.tick(now))
+    assert r.phase in (Phase.HALTED, Phase.DONE, Phase.ROLLING)
