Operators narrow tries, budgets, objectives and the trial's share; a gate by tenant

Change: the module takes an event with the facts narrowed and the trial's share; a req keeps the tries it began with, a lower share binds tries not yet sent. A gate bounds a tenant's rate and open reqs and says when to come back. Nothing changes where no version is in force: the bounds are the told ones.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -200,6 +200,7 @@
         self.spare_tries, self.squeeze = 5.0, 0.0  # retry budget; share of tries not connected
         self.done_cost, self.rate, self.rate_at, self.refused_at, self.refusing = 0.0, 0.0, now, -1e9, False
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
+        self.most_share = 1.0  # of a trial, that operators allow
         self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
         self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
@@ -226,6 +227,10 @@
         self.regroup()
         return []
 
+    def narrowed(self, event: i.Narrowed, now: float) -> None:
+        """Holds for reqs taken from now on; a lower share binds tries not yet sent too."""
+        self.facts, self.most_share = event.facts, event.trial_share
+
     def sighted(self, event: i.Sighted, now: float) -> None:
         self.blind_at = event.since if event.sight == i.Sight.BLIND else float("inf")
 
@@ -263,8 +268,9 @@
 
     def cap(self, build: int) -> tuple[float, int]:
         if build > self.news.build:
-            return self.facts.rollout.caps[0], 0
-        return (self.news.cap if self.news.phase == Phase.ON_TRIAL else 0.0), self.news.stage
+            return min(self.facts.rollout.caps[0], self.most_share), 0
+        cap = self.news.cap if self.news.phase == Phase.ON_TRIAL else 0.0
+        return min(cap, self.most_share), self.news.stage
 
     def exposure_room(self, rq: i.Req, build: int, now: float) -> bool:
         roll = self.facts.rollout
@@ -532,9 +538,11 @@
             self.refused_at = now
             yield self.refuse(rq, [])
             return
-        self.spare_tries = min(self.spare_tries + 0.1, 20.0)  # so that retries cannot make an overload worse
+        route = self.facts.routes[rq.route]
+        # So that retries cannot make an overload worse.
+        self.spare_tries = min(self.spare_tries + min(0.1, route.retry_budget), 20.0)
         past, cost = Past(), 0.0
-        for number in range(self.facts.max_tries):
+        for number in range(min(self.facts.max_tries, route.most_tries)):
             m = self.pick(rq, now, past)
             if m is None or rq.ends_at - now < 1 or self.spare_tries < cost:
                 break
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -97,6 +97,8 @@
     timeout_ms: float
     benefit: float
     late_benefit: float
+    most_tries: int = 1_000_000  # that operators allow, beside the settings' own bound
+    retry_budget: float = 1.0  # most further tries a req earns
 
 
 @dataclass(slots=True, frozen=True)
@@ -181,6 +183,15 @@
     since: float
 
 
+@dataclass(slots=True)
+class Narrowed:
+    """What operators narrow of the facts told at the start, never more than they were; ``trial_share`` bounds
+    the told cap of a build on trial."""
+
+    facts: Facts
+    trial_share: float
+
+
 @dataclass(slots=True)
 class Req:
     ident: int
--- a/myrtleroad/net/told.py
+++ b/myrtleroad/net/told.py
@@ -79,8 +79,9 @@
     connect_ms: float
     idle_ms: float
 
-    def bounds(self) -> "rules.Told":
-        """What a version of what operators set is held against."""
+    def bounds(self, cap: float | None = None, control: str | None = None) -> "rules.Told":
+        """What a version of what operators set is held against: ``cap`` is the one told last, of a build on
+        trial, else the start's; ``control`` the address that versions come from."""
         from myrtleroad.config import rules
 
         return rules.Told(
@@ -94,7 +95,8 @@
             zones=tuple(self.zones),
             most_tries=self.facts.max_tries,
             caps=self.facts.rollout.caps,
-            cap=self.news.cap if self.news.phase == i.Phase.ON_TRIAL else None,
+            cap=self.news.cap if cap is None and self.news.phase == i.Phase.ON_TRIAL else cap,
+            control=control,
         )
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,7 +13,10 @@
 
 from myrtleroad.config import commands, entries, rules, scan, version
 from myrtleroad.config.document import Reading, read
+from myrtleroad.config.gate import Gate
+from myrtleroad.config.narrow import narrow
 from myrtleroad.config.nets import Networks, Plain
+from myrtleroad.net.told import decode
 
 TOLD = rules.Told(
     routes={"look": rules.RouteTold(800.0, 2000.0), "book": rules.RouteTold(800.0, 2000.0)},
@@ -273,3 +276,40 @@
         and "route book most-tries: 3 (told)" in said
     )
     assert run("show", "a.kdl", "--against", "node.json", a=b"version 0")[0] == 1
+
+
+# --- at the door and in the module ---
+
+
+def test_a_tenants_rate_and_open_reqs_bound_it_and_no_other():
+    v = version.read(b'version 1\ntenants { tenant "acme" rate=(per-s)2 most-open=3 }', TOLD)
+    gate = Gate()
+    gate.narrow(rules.effective(v.entries, TOLD), 0.0)
+    assert [gate.take("acme", 0.0) for _ in range(2)] == [None, None]
+    assert gate.take("acme", 0.0) == pytest.approx(500.0) and gate.take("acme", 499.0) == pytest.approx(1.0)
+    assert gate.take("acme", 500.0) is None and gate.take("acme", 5000.0) == 500.0  # three are open
+    gate.leave("acme")
+    assert gate.take("acme", 5000.0) is None and gate.take("other", 0.0) is None
+    gate.narrow(None, 6000.0)
+    assert [gate.take("acme", 6000.0) for _ in range(50)] == [None] * 50 and len(gate.counts) == 2
+
+
+def test_a_told_quota_alone_refuses_nobody():
+    gate = Gate()
+    gate.narrow(rules.effective(entries.EMPTY, TOLD), 0.0)
+    assert [gate.take("acme", 0.0) for _ in range(200)] == [None] * 200
+
+
+def test_facts_are_narrowed_and_never_widened():
+    told = decode(orjson.dumps(build_config()))
+    v = version.read(
+        b'version 1\nroutes { route "look" timeout=(ms)900 most-tries=1 }\ntrial most-share=0.05'
+    )
+    bounds = rules.effective(v.entries, told.bounds())
+    got = narrow(told.facts, bounds, ["look", "book"], ["acme"])
+    look, book = got.facts.routes
+    assert (look.timeout_ms, look.objective_ms, look.most_tries) == (900.0, 800.0, 1)
+    assert (book.timeout_ms, book.most_tries, got.trial_share) == (2000.0, 3, 0.05)
+    wide = version.read(b'version 1\nroutes { route "look" timeout=(s)90 most-tries=99 }')
+    got = narrow(told.facts, rules.effective(wide.entries, told.bounds()), ["look", "book"], ["acme"])
+    assert got.facts.routes[0].timeout_ms == 2000.0 and got.facts.routes[0].most_tries == 3
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from conftest import build_facts, news, req, row
 
@@ -379,3 +381,21 @@
         b.share_out(1000.0)
         parts.append(4 * b.part)  # the trial has a quarter of the machines
     assert parts == pytest.approx(busy)
+
+
+def test_operators_narrow_tries_budget_and_the_trials_share(balancer):
+    facts = balancer.facts
+    routes = (replace(facts.routes[0], most_tries=1, retry_budget=0.0), *facts.routes[1:])
+    balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
+    life = balancer.serve(req(1), 0.0)  # taken before: it sees the version before for its whole life
+    first = next(life)
+    balancer.narrowed(i.Narrowed(replace(facts, routes=routes), 0.2), 0.0)
+    assert balancer.cap(2) == (0.2, 1) and balancer.cap(3)[0] == 0.1
+    assert isinstance(life.send((1.0, ended(first.machine, i.End.NOT_CONNECTED))), i.Send)
+    spare = balancer.spare_tries
+    life = balancer.serve(req(2), 0.0)
+    first = next(life)
+    assert balancer.spare_tries == spare
+    assert isinstance(life.send((1.0, ended(first.machine, i.End.NOT_CONNECTED))), i.Shed)
+    balancer.stage_news(news(2, 1, i.Phase.GOING_BACK, cap=0.0), 5.0)
+    assert balancer.cap(2)[0] == 0.0
