A control service and the front's side of versions: rings, halts, roll-back, on loopback

Change: control serve, publish, rollback, confirm, status over a folder; a front given deploy/front.kdl follows the stream, checks by slices in a greenlet of its own, answers once, binds module, list and door in one step, goes back by itself where it is not confirmed. Off on the platform.

--- a/myrtleroad/__main__.py
+++ b/myrtleroad/__main__.py
@@ -25,21 +25,25 @@
         return getattr(importlib.import_module(self.late[name]), name)
 
 
-@click.group(cls=Late, late={"config": "myrtleroad.config.commands"})
+@click.group(
+    cls=Late, late={"config": "myrtleroad.config.commands", "control": "myrtleroad.control.commands"}
+)
 def main() -> None:
     """myrtleroad, a proxy that tries out new builds on live traffic."""
 
 
 @main.command()
-def serve() -> None:
-    """Run one front, as NODE_CONFIG describes it, until SIGTERM."""
+@click.option("--with", "also", type=click.Path(exists=True, dir_okay=False), help="A KDL file of our own.")
+def serve(also: str | None) -> None:
+    """Run one front, as NODE_CONFIG describes it, until SIGTERM. What the platform's configuration does not
+    know, as a control service, stands in a file of its own (deploy/front.kdl)."""
     # One core is shared: the linear algebra library must not start threads, each with memory of its own.
     os.environ["OPENBLAS_NUM_THREADS"] = "1"
     from myrtleroad.net import front, told
 
     try:
         told_now = told.read()
-        program = front.Front(told_now)
+        program = front.Front(told_now, control=control_of(also) if also else None)
     except told.Unclear as fault:
         sys.exit(f"myrtleroad: {fault}")
     except OSError as fault:
@@ -47,6 +51,29 @@
     program.run()
 
 
+def control_of(file: str) -> tuple[str, int] | None:
+    """The control service that a file of our own names. Ends the program where it can't be read."""
+    from pathlib import Path
+
+    from myrtleroad.config.document import read
+    from myrtleroad.config.schema import FRONT, Check
+    from myrtleroad.net.told import address
+
+    nodes, faults = read(Path(file).read_bytes())
+    check = Check(nodes, FRONT)
+    for _ in check.steps():
+        pass
+    faults += check.faults
+    if faults:
+        sys.exit("\n".join(f"myrtleroad: {f.said(file)}" for f in faults))
+    for root in check.roots:
+        try:
+            return address(str(root.arg))
+        except ValueError as error:
+            sys.exit(f"myrtleroad: {file}:{root.node.line}:{root.node.column}: {error}")
+    return None
+
+
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
--- a/myrtleroad/config/document.py
+++ b/myrtleroad/config/document.py
@@ -21,6 +21,7 @@
     text: str
     line: int = 0
     column: int = 0
+    path: tuple[str, ...] = ()  # of the entry at fault, where it is one: its place can be looked up
 
     def said(self, name: str) -> str:
         return f"{name}:{self.line}:{self.column}: {self.code}: {self.text}"
--- a/myrtleroad/config/gate.py
+++ b/myrtleroad/config/gate.py
@@ -27,6 +27,8 @@
 
     def narrow(self, bounds: Bounds | None, now: float) -> None:
         """Bounds of now; reqs that are open stay counted, tokens are cut to the new rate."""
+        if bounds is None:
+            self.counts.clear()  # nobody counts any more, so nobody would give back
         tenants = bounds.tenants if bounds is not None else {}
         rate = {n: b["rate"] for n, b in tenants.items()}
         # Guards against refusing by the told quota, which says what is worth less, not what is forbidden.
@@ -53,4 +55,5 @@
         return None
 
     def leave(self, tenant: str) -> None:
-        self.counts[tenant].open -= 1
+        if (count := self.counts.get(tenant)) is not None and count.open:
+            count.open -= 1
--- a/myrtleroad/config/ledger.py
+++ b/myrtleroad/config/ledger.py
@@ -73,6 +73,7 @@
     acked: bool
     code: str = ""
     text: str = ""
+    path: tuple[str, ...] = ()  # of the entry at fault, where it is one
 
 
 @dataclass(slots=True, frozen=True)
@@ -187,7 +188,9 @@
             return self.no(offer, "older", f"{said(self.highest)} has been in force")
         return None
 
-    def checked(self, nonce: int, stream: int, code: str = "", text: str = "") -> list[Act]:
+    def checked(
+        self, nonce: int, stream: int, code: str = "", text: str = "", path: tuple[str, ...] = ()
+    ) -> list[Act]:
         """What the check of an offer says; ``code`` and ``text`` where it is refused."""
         if self.at_work is None or (self.at_work[0].stream, self.at_work[0].nonce) != (stream, nonce):
             return []  # it was superseded meanwhile
@@ -195,7 +198,8 @@
         if code:
             self.at_work = None
             self.past.append(Held(offer.name, offer.digest, Mark.REFUSED))
-            return self.owed(self.no(offer, code, text)) + self.next()
+            no = Answer(offer.stream, offer.nonce, offer.name, False, code, text, path)
+            return self.owed(no) + self.next()
         self.at_work = (offer, Mark.CHECKED)
         return [Apply(offer.name)]
 
--- a/myrtleroad/config/rules.py
+++ b/myrtleroad/config/rules.py
@@ -4,7 +4,7 @@
 accepted can stop being so: the effective value is the lower one of now, and the version stays."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from immutables import Map
 
@@ -51,7 +51,7 @@
     """Every rule that the content breaks goes to ``into``; yields between slices."""
     for n, (path, value) in enumerate(entries.items(), 1):
         if path[0] != "network":
-            into += _one(path, value, told, where.get(path, (0, 0)))
+            into += (replace(f, path=path) for f in _one(path, value, told, where.get(path, (0, 0))))
         if n % step == 0:
             yield
     into += _together(entries, told)
--- a/myrtleroad/config/schema.py
+++ b/myrtleroad/config/schema.py
@@ -132,6 +132,8 @@
     "log": Shape(properties={"level": Kind("choice", choices=("debug", "info", "warning"))}),
 }
 
+FRONT = {"control": Shape(arg=Kind("text"))}  # a front's own file, deploy/front.kdl
+
 
 @dataclass(slots=True)
 class Checked:
--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -123,6 +123,12 @@
             f.stand, f.code, f.text = Stand.WAITING, "", ""
         return self.go(now)
 
+    def expect(self, fronts: Iterable[str], now: float) -> None:
+        """Fronts of an earlier life of the service: away as of now. Guards against a restarted service that
+        takes the first front that comes for all of them, and its ring for done."""
+        for name in fronts:
+            self.fronts.setdefault(name, Front(name, stands=False, since=now))
+
     def hello(self, front: str, holds: Name, now: float) -> list[Act]:
         """A front has come, or come back. One that holds the version counts as having acknowledged; one whose
         ring has come is offered it; the others are offered what all should hold."""
--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -26,6 +26,7 @@
 
 APART = 24  # descriptors for all else: log, clock, both streams, twice while they move, a vote, some to spare
 MOST_HELD = 1e6  # reqs that no machine holds: a report past it, or not a number, is none
+OPEN = i.Status.IN_SERVICE
 NUDGE = None  # in the mailbox: something waits in the lane
 WAKE = None  # the timer of the module's own wake-up; others belong to a req
 
@@ -81,6 +82,8 @@
         self.places: dict[int, tuple[Address, float]] = {}  # address and start of each, emptied with them
         self.stage: tuple[int, int, str, float] | None = None  # the last one told, for the log
         self.share = Share((told.sockets - APART) // 2)  # the other half is for clients
+        self.aside: tuple[frozenset[str], frozenset[int]] = (frozenset(), frozenset())  # machines, zones
+        self.on_news: Callable[[], None] = lambda: None  # after the stage's news has reached the module
         self.list_age: Callable[[float], float] = lambda now: 0.0
         self.vote: Callable[[i.Vote], None] = lambda act: None
 
@@ -141,6 +144,8 @@
             case Listing():
                 self.counters.add("lists")
                 self.guard("list", self.listed, message, now)
+            case i.Narrowed():
+                self.guard("narrowed", self.balancer.narrowed, message, now)
             case i.Sighted():
                 self.counters.add(f"list_{message.sight.name.lower()}")
                 self.guard("sight", self.balancer.sighted, message, now)
@@ -164,6 +169,7 @@
             self.stage = stage
             self.log("stage", build=news.build, stage=news.stage, phase=news.phase.name, cap=news.cap)
         self.act(self.balancer.stage_news(news, now), now)
+        self.on_news()
 
     def set_timer(self, at: float, life: Life | None, wait: int) -> None:
         self.timer_no += 1
@@ -297,7 +303,12 @@
             elif self.places[number] != place:
                 self.machines[number].mailbox.put(Moved(e.address))
             self.places[number] = place
-        rows = [e.row for e in listing.entries]
+        words, zones = self.aside
+        rows = [
+            # What operators set aside drains: it finishes what it has and gets nothing new.
+            e.draining().row if e.row.status == OPEN and (e.word in words or e.row.zone in zones) else e.row
+            for e in listing.entries
+        ]
         self.act(self.balancer.listed(i.Listed(listing.kind, rows), now), now)
         for number in [n for n in self.machines if n not in self.balancer.machines]:
             self.machines.pop(number).mailbox.put(Leave())
--- a/myrtleroad/net/door.py
+++ b/myrtleroad/net/door.py
@@ -2,6 +2,7 @@
 
 import errno
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent import socket
@@ -16,6 +17,10 @@
 from myrtleroad.net.log import Log
 from myrtleroad.net.told import Told
 
+if TYPE_CHECKING:
+    from myrtleroad.config.gate import Gate
+    from myrtleroad.config.nets import Networks
+
 IDLE_MS = 2000.0  # a connection without an open req goes after this: the protocol's least, as clients leave
 WHOLE_MS = 2500.0  # for the rest of a req once begun, or of the first from the connecting: 3 s are promised
 LINGER_MS = 1000.0  # for a client to read the last answer and close, before we do
@@ -37,15 +42,18 @@
         "door",
         "drained",
         "held",
+        "peer",
         "requests",
         "since",
         "sock",
+        "tenant",
         "turn",
         "written",
     )
 
-    def __init__(self, door: "Door", sock: socket.socket):
-        self.door, self.sock = door, sock
+    def __init__(self, door: "Door", sock: socket.socket, peer: str = ""):
+        self.door, self.sock, self.peer = door, sock, peer
+        self.tenant: str | None = None  # that the gate counts the held req for
         self.requests = head.Requests()
         self.held: int | None = None  # the req that the module has
         self.turn = Event()  # set while no answer is owed
@@ -69,6 +77,7 @@
         finally:
             if self.held is not None:
                 self.door.deliver(Gone(self.held))
+            self.leave()
             self.drop()
 
     def read(self) -> None:
@@ -119,6 +128,8 @@
         door, now = self.door, self.door.clock()
         self.closing = not message.keep
         rq = door.req(message, now)
+        if not isinstance(rq, reply.Reply) and (no := door.bound(self, rq, now)) is not None:
+            rq = no
         if isinstance(rq, reply.Reply):
             self.answer(rq)
         else:
@@ -134,8 +145,15 @@
     def answer(self, final: reply.Reply) -> None:
         """Called by whoever has the answer; never waits."""
         self.held = None
+        self.leave()
         gevent.spawn(self.write, final)
 
+    def leave(self) -> None:
+        """The req that the gate let in is over."""
+        if self.tenant is not None and self.door.gate is not None:
+            self.door.gate.leave(self.tenant)
+        self.tenant = None
+
     def write(self, final: reply.Reply) -> None:
         self.closing = self.closing or self.door.stopping or self.door.crowded
         self.door.counters.add(f"answers_{final.status}")
@@ -194,6 +212,8 @@
         )  # connections kept between reqs: under the third that open reqs may hold
         self.ident = 0
         self.stopping = False
+        self.facts, self.networks, self.gate = told.facts, None, None  # what operators narrow of the told
+        self.tenants = [name.decode() for name in told.tenants]
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(told.listen)
@@ -205,6 +225,30 @@
         connection: the descriptors they hold, until they are found idle, are those of the next clients."""
         return len(self.clients) > self.many
 
+    def bind(self, facts: i.Facts, networks: "Networks | None", gate: "Gate | None") -> None:
+        """What holds from now on: for reqs not yet taken, and for addresses at once."""
+        self.facts, self.networks = facts, networks
+        if self.gate is not gate:
+            for client in self.clients:
+                client.tenant = None  # counted by a gate that is no more, or by none
+            self.gate = gate
+
+    def bound(self, client: Client, rq: i.Req, now: float) -> reply.Reply | None:
+        """The answer to a req that operators do not let in."""
+        if self.networks is not None and client.peer and not self.networks.admits(client.peer):
+            self.counters.add("reqs_network_refused")
+            client.closing = True
+            return reply.unfit(403)
+        if self.gate is not None and rq.tenant is not None:
+            name = self.tenants[rq.tenant]
+            wait = self.gate.take(name, now)
+            if wait is not None:
+                self.counters.add("reqs_over_bound")
+                most = self.facts.max_come_back_ms if self.facts.come_back else 0.0
+                return reply.shed(min(wait, most))
+            client.tenant = name
+        return None
+
     def run(self) -> None:
         sweeper = gevent.spawn(self.sweep)
         try:
@@ -218,7 +262,7 @@
                 gevent.sleep(self.PAUSE_S)
                 continue
             try:
-                sock, _ = self.sock.accept()
+                sock, peer = self.sock.accept()
             except OSError as error:
                 if error.errno in (errno.EBADF, errno.EINVAL):
                     return  # closed, at a stop
@@ -227,7 +271,7 @@
                 self.make_room()
                 gevent.sleep(self.PAUSE_S)
             else:
-                self.welcome(sock)
+                self.welcome(sock, peer[0])
 
     def sweep(self) -> None:
         while True:
@@ -236,10 +280,10 @@
             for client in list(self.clients):
                 client.look(now)
 
-    def welcome(self, sock: socket.socket) -> None:
+    def welcome(self, sock: socket.socket, peer: str) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.counters.add("client_connections")
-        client = Client(self, sock)
+        client = Client(self, sock, peer)
         self.clients.add(client)
         gevent.spawn(client.run)
 
@@ -261,7 +305,8 @@
         self.sock.settimeout(0)
         try:
             while True:
-                self.welcome(self.sock.accept()[0])
+                sock, peer = self.sock.accept()
+                self.welcome(sock, peer[0])
         except OSError:
             self.sock.close()
         gevent.sleep(0)  # what has come on them is read before any is found idle
@@ -292,7 +337,12 @@
             return reply.unfit(400)
         self.ident += 1
         repeat = message.header(b"x-resent") == b"1"
-        return i.Req(self.ident, route, tenant, None, now + int(remaining), 0.0, repeat)
+        within = float(remaining)
+        if self.facts is not self.told.facts:
+            within = min(
+                within, self.facts.routes[route].timeout_ms
+            )  # operators' own; a client's may be less
+        return i.Req(self.ident, route, tenant, None, now + within, 0.0, repeat)
 
     @staticmethod
     def names(word: bytes) -> bool:
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import signal
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
@@ -16,13 +17,16 @@
 from myrtleroad.net.log import Log, descriptors
 from myrtleroad.net.roster import Roster
 from myrtleroad.net.stream import Post
-from myrtleroad.net.told import Moved, Told, Unclear, fixed, read
+from myrtleroad.net.told import Address, Moved, Told, Unclear, fixed, read
+
+if TYPE_CHECKING:
+    from myrtleroad.net.versions import Versions
 
 LATE_S = 0.45  # new connections keep arriving for up to 0.4 s after SIGTERM
 
 
 class Front:
-    def __init__(self, told: Told, log_to: int = 1):
+    def __init__(self, told: Told, log_to: int = 1, control: Address | None = None):
         self.told, self.clock, self.counters = told, Clock(), Counters()
         self.log = Log(self.clock, log_to)
         self.brain = Brain(told, self.clock, self.counters, self.log)
@@ -36,6 +40,12 @@
         self.brain.vote = self.desk.mailbox.put
         self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
         self.stop, self.was_ready = Event(), False
+        self.versions: Versions | None = None
+        if control is not None:
+            from myrtleroad.net.bounds import Holder
+
+            holder = Holder(told, self.clock, self.brain, self.roster, self.door)
+            self.versions = holder.versions(control, self.counters, self.log)
 
     def is_ready(self) -> bool:
         """Once the list and the platform's news are in the module, or could not be had anew."""
@@ -55,6 +65,8 @@
         self.brain.start()
         for actor in (self.log, self.brain, self.roster, self.bulletin, self.desk, self.door):
             gevent.spawn(keep, type(actor).__name__.lower(), actor.run, self.counters, self.log)
+        if self.versions is not None:
+            gevent.spawn(keep, "versions", self.versions.run, self.counters, self.log)
         gc.collect()
         gc.freeze()  # what is there for good need not be looked through at each collection
         self.stop.wait()
--- /dev/null
+++ b/myrtleroad/net/versions.py
@@ -0,0 +1,263 @@
+"""The versions actor: a stream to the control service, the acts of the ledger, and what holds in effect."""
+
+import contextlib
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import gevent
+from gevent import socket
+from gevent.queue import SimpleQueue
+
+from myrtleroad.config import rules, version
+from myrtleroad.config.document import Fault
+from myrtleroad.config.entries import EMPTY, Delta, digest, patched
+from myrtleroad.config.ledger import Act, Answer, Apply, Check, Ledger, Name, Offer, Tell
+from myrtleroad.config.wire import Decoder, Frame, Spoilt, encode
+from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.net.counters import Counters
+from myrtleroad.net.log import Log
+from myrtleroad.net.told import UNREADABLE, Address, Told
+
+CONNECT_S = 1.0  # as for the other streams
+ALIVE_S = 2.0  # a sign of life goes out so often
+SILENT_S = 5.0  # two signs of life and some room
+SLICE_S = 0.001  # reading a version lets others run after so long, once the slice of nodes it is in ends
+READ = 64 * 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Came:
+    """A frame of one stream; without one, its end."""
+
+    stream: int
+    frame: Frame | None
+    why: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Judged:
+    """What the check of an offer says."""
+
+    offer: Offer
+    found: version.Version
+
+
+class Versions:
+    """Follows one control service. The ledger decides; reading and checking go on in a greenlet of their own,
+    by slices, so that reqs do not wait. ``apply`` takes the bounds of now (None where nothing is
+    narrowed) and must not switch; ``cap`` tells the cap of a build on trial, None where none is."""
+
+    def __init__(
+        self,
+        at: Address,
+        told: Told,
+        clock: Callable[[], float],
+        counters: Counters,
+        log: Log,
+        apply: Callable[[rules.Bounds | None], None],
+        cap: Callable[[], float | None],
+    ):
+        self.at, self.told, self.clock, self.counters, self.log = at, told, clock, counters, log
+        self.bind, self.cap = apply, cap
+        self.mailbox: SimpleQueue = SimpleQueue()
+        self.ledger = Ledger()
+        self.contents = {self.ledger.force.name: EMPTY}  # of the one in force and the last good one
+        self.found = version.Version()  # the one that is being applied
+        manner = Manner(told.facts.balancers, told.facts.rules.drain_grace_ms, ALIVE_S * 1000)
+        self.asking = Asking(manner, Random(told.seed + 2).random)
+        self.stream, self.sock = 0, None
+        self.opened_at: float | None = None  # of the stream that stands
+
+    # --- the actor ---
+
+    def run(self) -> None:
+        gevent.spawn(self.connect)
+        while True:
+            wait = max(0.0, min(self.ledger.due() - self.clock(), 1000.0)) / 1000
+            message = None
+            with gevent.Timeout(wait, False):
+                message = self.mailbox.get()
+            if message is not None:
+                self.take(message)
+            self.carry(self.ledger.tick(self.clock()))
+
+    def take(self, message: object) -> None:
+        match message:
+            case Came(stream) if stream != self.stream:
+                pass  # of one that was given up
+            case Came(stream, None, why):
+                self.ledger.dropped(stream)
+                self.sock = None
+                self.counters.add("versions_lost")
+                self.log("versions lost", at=f"{self.at[0]}:{self.at[1]}", why=why)
+                stood = None if self.opened_at is None else self.clock() - self.opened_at
+                gevent.spawn_later(self.asking.pause(stood) / 1000, self.connect)
+            case Came(_, frame):
+                try:
+                    self.came(frame)
+                except UNREADABLE as error:
+                    self.end(f"unreadable: {type(error).__name__}: {error}")
+            case Judged(offer, found):
+                self.judged(offer, found)
+
+    def came(self, frame: Frame) -> None:
+        f = frame.fields
+        match frame.kind:
+            case "offer":
+                name, confirm = Name(int(f["epoch"]), int(f["number"])), f.get("confirm_ms")
+                confirm_ms = None if confirm is None else float(confirm)
+                offer = Offer(self.stream, int(f["nonce"]), name, str(f["digest"]), confirm_ms, f)
+                self.counters.add("versions_offered")
+                self.carry(self.ledger.offered(offer))
+            case "confirm":
+                name = Name(int(f["epoch"]), int(f["number"]))
+                if self.ledger.confirmed(name):
+                    self.log("version confirmed", epoch=name.epoch, number=name.number)
+            case "bye":
+                self.end(str(f.get("why", "bye")))
+
+    # --- carrying out ---
+
+    def carry(self, acts: list[Act]) -> None:
+        for act in acts:
+            match act:
+                case Check(offer):
+                    gevent.spawn(self.check, offer)
+                case Apply(name):
+                    self.apply(name)
+                case Answer():
+                    self.answer(act)
+                case Tell(name, back_to, why):
+                    self.counters.add("versions_rolled_back")
+                    self.log("version rolled back", epoch=name.epoch, number=name.number, why=why)
+                    back = {"epoch": back_to.epoch, "number": back_to.number}
+                    self.send(encode("back", epoch=name.epoch, number=name.number, to=back, why=why))
+
+    def check(self, offer: Offer) -> None:
+        """In a greenlet of its own: reads by slices and lets others run between them."""
+        found, begun = version.Version(), time.monotonic()
+        try:
+            steps = self.read(offer, found)
+            for _ in steps:
+                if time.monotonic() - begun >= SLICE_S:
+                    gevent.sleep(0)
+                    begun = time.monotonic()
+        except Exception as error:  # whatever is wrong with it, the offer gets its answer
+            found.faults = [Fault("syntax", f"{type(error).__name__}: {error}")]
+        self.mailbox.put(Judged(offer, found))
+
+    def read(self, offer: Offer, found: version.Version):
+        """Steps over a whole text or a difference. Raises KeyError and the like where it can't be read."""
+        told = self.told.bounds(self.cap(), self.at[0])
+        if "text" in offer.body:
+            yield from version.steps(str(offer.body["text"]).encode(), told, found)
+            return
+        base = offer.body["base"]
+        if Name(int(base["epoch"]), int(base["number"])) != self.ledger.force.name:
+            found.faults = [Fault("base", "a difference to what is not in force here")]
+            return
+        changed = {tuple(path): value for path, value in offer.body["set"]}
+        delta = Delta(changed, [tuple(path) for path in offer.body["dropped"]])
+        found.entries = patched(self.contents[self.ledger.force.name], delta)
+        yield from rules.faults(found.entries, told, {}, found.faults)
+
+    def judged(self, offer: Offer, found: version.Version) -> None:
+        faults = found.faults
+        if not faults and digest(found.entries) != offer.digest:
+            faults = [Fault("digest", "the content is not what its digest says")]
+        if not faults:
+            self.found = found
+            self.carry(self.ledger.checked(offer.nonce, offer.stream))
+            return
+        first, more = faults[0], f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
+        place = f"line {first.line}, column {first.column}: " if first.line else ""
+        why = place + first.text + more
+        self.carry(self.ledger.checked(offer.nonce, offer.stream, first.code, why, first.path))
+
+    def apply(self, name: Name) -> None:
+        """All or nothing: the bounds are made first and told in one call."""
+        back, fault = name == self.ledger.force.name, ""
+        entries = self.contents[name] if back else self.found.entries
+        try:
+            self.bind(self.effective(entries))
+        except Exception as error:  # the version before stays in force
+            fault = f"{type(error).__name__}: {error}"
+        if back:
+            return  # the ledger has gone back already
+        if not fault:
+            self.contents[name] = entries
+            self.counters.add("versions_applied")
+            self.log("version applied", epoch=name.epoch, number=name.number, entries=len(entries))
+        self.carry(self.ledger.applied(name, self.clock(), fault))
+        held = (self.ledger.force.name, self.ledger.good.name)
+        self.contents = {n: c for n, c in self.contents.items() if n in held}
+
+    def effective(self, entries) -> rules.Bounds | None:
+        return rules.effective(entries, self.told.bounds(self.cap())) if len(entries) else None
+
+    def renew(self) -> None:
+        """What was told has changed, as a cap: what holds in effect is made anew."""
+        entries = self.contents[self.ledger.force.name]
+        if len(entries):
+            self.bind(self.effective(entries))
+
+    def answer(self, a: Answer) -> None:
+        name = {"epoch": a.name.epoch, "number": a.name.number}
+        self.counters.add("versions_acked" if a.acked else "versions_refused")
+        if not a.acked:
+            self.log("version refused", **name, code=a.code, text=a.text)
+        why = {"code": a.code, "text": a.text, "path": a.path}
+        self.send(encode("answer", nonce=a.nonce, **name, acked=a.acked, **why))
+
+    # --- the stream ---
+
+    def connect(self) -> None:
+        """Opens a stream and reads it to its end, which is posted once."""
+        self.stream += 1
+        number, why, sock = self.stream, "ended", None
+        self.opened_at = None
+        try:
+            sock = socket.create_connection(self.at, CONNECT_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(SILENT_S)
+            self.sock, self.opened_at = sock, self.clock()
+            self.ledger.opened(number)
+            force = self.ledger.force
+            holds = {"epoch": force.name.epoch, "number": force.name.number, "digest": force.digest}
+            self.send(encode("hello", name=self.told.name, protocol=1, holds=holds))
+            gevent.spawn(self.signs, sock)
+            decoder = Decoder()
+            while data := sock.recv(READ):
+                for frame in decoder.feed(data):
+                    self.mailbox.put(Came(number, frame))
+        except (OSError, Spoilt) as error:
+            why = f"{type(error).__name__}: {error}"
+        finally:
+            if sock is not None:
+                sock.close()
+            self.mailbox.put(Came(number, None, why))
+
+    def signs(self, sock: socket.socket) -> None:
+        while sock is self.sock:
+            gevent.sleep(ALIVE_S)
+            if sock is self.sock:
+                self.send(encode("alive"))
+
+    def send(self, frame: bytes) -> None:
+        """Never waits for long: a front's frames are small, and a peer that takes none is of no use."""
+        if self.sock is not None:
+            try:
+                with gevent.Timeout(CONNECT_S, TimeoutError):
+                    self.sock.sendall(frame)
+            except OSError as error:
+                self.end(f"{type(error).__name__}: {error}")
+
+    def end(self, why: str) -> None:
+        """Its reader sees the end and posts it."""
+        sock, self.sock = self.sock, None
+        if sock is not None:
+            self.log("versions ended", why=why)
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -92,6 +92,15 @@
     assert r.hello("zz", NONE, 5.0) == [Send("zz", ONE)]  # its ring has not come: what all should hold
 
 
+def test_a_restarted_service_does_not_take_the_first_front_that_comes_for_all():
+    r = Rollout(Plan((0.5, 1.0), watch_ms=0.0, away_ms=10_000.0), ONE)
+    r.expect(["n0", "n1"], 100.0)
+    r.publish(TWO, 100.0)
+    assert r.hello("n0", TWO, 200.0) == [] and r.phase == Phase.ROLLING and r.tick(9000.0) == []
+    assert sent(r.hello("n1", ONE, 9500.0)) == ["n1"]
+    assert r.answered("n1", TWO, True, "", "", 9600.0) == [Finished(TWO)]
+
+
 def test_names_must_go_up_and_plans_must_make_sense():
     r = rollout()
     r.publish(TWO, 0.0)
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,306 @@
+"""A control service and fronts on loopback: versions taken, refused, rolled back, and what cuts leave."""
+
+import os
+import struct
+from types import SimpleNamespace
+
+import gevent
+import orjson
+import pytest
+from click.testing import CliRunner
+from conftest import build_told, listed, silent
+from gevent import socket
+
+from myrtleroad import interface as i
+from myrtleroad.config.wire import Decoder, encode
+from myrtleroad.control import commands, service
+from myrtleroad.control.folder import Folder, Unsound
+from myrtleroad.control.rollout import Phase, Plan
+from myrtleroad.net import front
+from myrtleroad.net.clock import Clock
+
+AT = ("127.0.0.1", 9)
+REQ = (
+    b"GET /api HTTP/1.1\r\nHost: h\r\nX-Txn: %d\r\nX-Lane: look\r\nX-Org: acme\r\nX-Remaining-Ms: 900\r\n\r\n"
+)
+
+
+def text(number, *lines, head=""):
+    return "\n".join((f"version {number} {head}", *lines))
+
+
+class World:
+    """A service over a folder, and as many fronts as are asked for."""
+
+    def __init__(self, folder, rings=(1.0,), **plan):
+        self.folder, self.plan = folder, Plan(rings, watch_ms=0.0, **plan)
+        self.fronts, self.greenlets = [], []
+        self.serve()
+
+    def serve(self, at=("127.0.0.1", 0)):
+        self.service = service.Service(Folder(self.folder), self.plan, Clock(), silent, at)
+        self.running = gevent.spawn(self.service.run)
+
+    def kill(self):
+        """The service dies where it stands; its address is free again."""
+        at = self.service.at
+        self.running.kill()
+        gevent.sleep(0.01)
+        return at
+
+    def front(self, name="n0"):
+        told = build_told(listed("s-1", AT), listed("s-2", AT, zone="there"), name=name)
+        made = front.Front(told, os.open(os.devnull, os.O_WRONLY), control=self.service.at)
+        self.fronts.append(made)
+        self.greenlets.append(gevent.spawn(made.run))
+        until(lambda: name in self.service.links)
+        return made
+
+    def call(self, **words):
+        got = gevent.queue.SimpleQueue()
+        self.service.mailbox.put(service.Call(words, got.put))
+        return got.get()
+
+    def publish(self, *lines, number=None, head=""):
+        number = number or self.service.state.number + 1
+        return self.call(call="publish", text=text(number, *lines, head=head))
+
+
+def until(true):
+    with gevent.Timeout(8):
+        while not true():
+            gevent.sleep(0.002)
+
+
+def holds(made):
+    return made.versions.ledger.force.name.number
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = []
+
+    def make(**plan):
+        made.append(World(tmp_path, **plan))
+        return made[-1]
+
+    yield make
+    for w in made:
+        for f in w.fronts:
+            f.door.sock.close()
+        gevent.killall(w.greenlets)
+        w.kill()
+
+
+def test_a_version_is_taken_and_binds_module_list_and_door(world):
+    w = world()
+    f = w.front()
+    lines = [
+        'routes { route "look" timeout=(ms)700 most-tries=1 }',
+        "trial most-share=0.05",
+        'aside { machine "s-1"; zone "there" }',
+        'tenants { tenant "acme" rate=(per-s)2 }',
+    ]
+    assert w.publish(*lines) == {"ok": True, "number": 1}
+    until(lambda: w.service.rollout.phase == Phase.DONE)
+    b = f.brain.balancer
+    assert b.facts.routes[0].timeout_ms == 700.0 and b.facts.routes[0].most_tries == 1
+    assert b.most_share == 0.05
+    assert {m.row.status for m in b.machines.values()} == {i.Status.DRAINING}
+    client = socket.create_connection(f.door.sock.getsockname())
+    answers = []
+    for n in range(4):
+        client.sendall(REQ % n)
+        answers.append(client.recv(4096))
+    assert all(b"503" in a for a in answers) and f.counters.counts["reqs_over_bound"] == 2
+    assert w.publish("log level=info") == {"ok": True, "number": 2}
+    until(lambda: holds(f) == 2)
+    assert b.facts.routes[0].timeout_ms == 2000.0 and b.most_share == 1.0
+    assert {m.row.status for m in b.machines.values()} == {i.Status.IN_SERVICE}
+    assert f.counters.counts["faults"] == 0
+
+
+def test_a_network_that_is_closed_gets_no_more_answers(world):
+    w = world()
+    f = w.front()
+    client = socket.create_connection(f.door.sock.getsockname())
+    f.door.networks = None
+    w.publish('networks { refuse "127.0.0.0/9" }')
+    gevent.sleep(0.05)
+    assert (
+        holds(f) == 0 and f.versions.ledger.past[-1].name.number == 1
+    )  # it would cut off the service itself
+    f.versions.at = ("127.128.0.1", 1)  # as if versions came from elsewhere
+    w.publish('networks { refuse "127.0.0.0/9" }')
+    until(lambda: holds(f) == 2)
+    client.sendall(REQ % 1)
+    assert client.recv(4096).startswith(b"HTTP/1.1 403") and client.recv(4096) == b""
+
+
+def test_a_bad_version_is_refused_with_its_reason_and_the_last_good_one_stays(world):
+    w = world()
+    f = w.front()
+    w.publish('routes { route "look" most-tries=2 }')
+    until(lambda: holds(f) == 1)
+    w.publish('routes { route "look" most-tries=99 }')
+    until(lambda: w.service.rollout.phase == Phase.HALTED)
+    status = w.call(call="status")
+    assert status["fronts"][0]["code"] == "widens" and "line 2, column 10" in status["fronts"][0]["text"]
+    assert holds(f) == 1 and f.brain.balancer.facts.routes[0].most_tries == 2
+    assert "number it 3" in w.publish(number=2)["why"] and "range" in w.publish("trial most-share=7")["why"]
+    assert w.call(call="rollback", to=1) == {
+        "ok": True,
+        "number": 3,
+    }  # the way out: older content, new number
+    until(lambda: w.service.rollout.phase == Phase.DONE)
+    assert holds(f) == 3 and f.brain.balancer.facts.routes[0].most_tries == 2
+
+
+def test_a_version_that_asks_for_it_goes_back_unless_confirmed(world):
+    w = world(bad_share=0.0)
+    f = w.front()
+    w.publish("trial most-share=0.05")
+    until(lambda: holds(f) == 1)
+    w.publish("trial most-share=0.01", head="confirm=(s)1")
+    until(lambda: holds(f) == 2)
+    assert f.brain.balancer.most_share == 0.01
+    until(lambda: holds(f) == 1)
+    assert f.brain.balancer.most_share == 0.05 and f.counters.counts["versions_rolled_back"] == 1
+    until(lambda: w.call(call="status")["fronts"][0]["holds"][1] == 1)
+    w.publish("trial most-share=0.02", head="confirm=(s)1")
+    until(lambda: holds(f) == 3)
+    assert w.call(call="confirm")["fronts"] == 1
+    gevent.sleep(1.2)
+    assert holds(f) == 3 and f.versions.ledger.good.name.number == 3
+
+
+def test_the_cap_that_falls_narrows_a_version_in_force_at_once(world):
+    w = world()
+    f = w.front()
+    w.publish("trial most-share=0.1")
+    until(lambda: holds(f) == 1)
+    f.brain.tell(i.StageNews(i.End.COMPLETED, False, 2, 0, i.Phase.ON_TRIAL, 0.04, 0.0))
+    f.brain.hear()
+    assert f.brain.balancer.cap(2)[0] == 0.04 and f.brain.balancer.most_share == 0.04
+
+
+def test_a_service_that_is_killed_in_a_rollout_goes_on_with_its_numbers(world):
+    w = world(rings=(0.5, 1.0))
+    first, second = w.front("n0"), w.front("n1")
+    w.service.rollout.plan = Plan((0.5, 1.0), watch_ms=60_000.0)
+    w.publish("trial most-share=0.05")
+    until(lambda: holds(first) == 1)
+    at = w.kill()
+    assert holds(second) == 0
+    w.serve(at)
+    until(lambda: w.service.rollout.phase == Phase.DONE)
+    assert (holds(first), holds(second)) == (1, 1) and first.counters.counts["versions_applied"] == 1
+    assert w.publish("trial most-share=0.06")["number"] == 2
+    until(lambda: holds(second) == 2)
+
+
+def scripted(w, name, answer):
+    """A front of the wire alone: what it was offered, and its stream."""
+    sock, offered = socket.create_connection(w.service.at), []
+    sock.sendall(encode("hello", name=name, protocol=1, holds={"epoch": 0, "number": 0, "digest": ""}))
+
+    def run():
+        decoder = Decoder()
+        while data := sock.recv(65536):
+            for frame in decoder.feed(data):
+                if frame.kind == "offer":
+                    offered.append(frame.fields["number"])
+                    f = {n: frame.fields[n] for n in ("nonce", "epoch", "number")}
+                    sock.sendall(
+                        encode("answer", **f, acked=answer, code="" if answer else "range", text="no")
+                    )
+
+    gevent.spawn(run)
+    until(lambda: name in w.service.links)
+    return offered
+
+
+def test_a_bad_ring_of_three_out_of_ten_halts_before_the_other_seven(world):
+    w = world(rings=(0.3, 1.0))
+    offered = [scripted(w, f"n{n}", answer=n >= 3) for n in range(10)]
+    w.publish("trial most-share=0.05")
+    until(lambda: w.service.rollout.phase == Phase.HALTED)
+    gevent.sleep(0.05)
+    assert offered == [[1], [1], [1]] + [[]] * 7
+
+
+@pytest.mark.parametrize(
+    "noise", [struct.pack("!IB", 1 << 30, 1), b"\0\0\0\2\1{", encode("hello"), b"GET / HTTP"]
+)
+def test_noise_ends_one_stream_and_no_other(world, noise):
+    w = world()
+    offered = scripted(w, "good", True)
+    bad = socket.create_connection(w.service.at)
+    bad.sendall(noise)
+    with gevent.Timeout(5):
+        while bad.recv(4096):
+            pass
+    w.publish("trial most-share=0.05")
+    until(lambda: offered == [1])
+
+
+def test_a_front_bears_a_service_that_spoils_its_frames(world):
+    w = world()
+    f = w.front()
+    link = w.service.links["n0"]
+    for spoilt in (encode("offer", nonce=1), b"\xff" * 9):
+        link.put(spoilt)
+        while w.service.links.get("n0") in (None, link):
+            gevent.sleep(0.002)
+        link = w.service.links["n0"]
+    body = {"nonce": 9, "epoch": 1, "number": 5, "digest": "d", "base": {"epoch": 9, "number": 9}}
+    link.put(encode("offer", **body, set=[], dropped=[]))
+    link.put(encode("offer", **body | {"nonce": 10, "number": 6}, text=text(6)))
+    until(lambda: len(f.versions.ledger.past) == 2)
+    assert f.counters.counts["versions_refused"] == 2 and f.counters.counts["faults"] == 0 and holds(f) == 0
+
+
+def test_a_difference_is_sent_where_it_is_small_and_is_what_the_text_says(world):
+    w = world()
+    f = w.front()
+    many = [f'  refuse "10.{n}.0.0/16"' for n in range(200)]
+    w.publish("networks {", *many, "}")
+    until(lambda: holds(f) == 1)
+    until(lambda: w.service.links["n0"].holds.number == 1)
+    queue = w.service.links["n0"].queue
+    seen, put = [], queue.put
+    w.service.links["n0"].queue = SimpleNamespace(
+        put=lambda frame: (seen.append(frame), put(frame)), get=queue.get, qsize=queue.qsize
+    )
+    w.publish("networks {", *many[:-1], "}")
+    until(lambda: holds(f) == 2)
+    content = f.versions.contents[f.versions.ledger.force.name]
+    assert len(seen[0]) < 400 and len(content) == 199
+
+
+def test_a_state_that_cannot_be_read_is_told_and_not_begun_over(tmp_path):
+    (tmp_path / "state.json").write_bytes(b'{"epoch": 1')
+    with pytest.raises(Unsound, match="higher epoch"):
+        Folder(tmp_path).load()
+
+
+def test_the_commands_of_operators(world, tmp_path):
+    w, run = world(), CliRunner().invoke
+    offered = scripted(w, "n0", True)
+    file = tmp_path / "one.kdl"
+    file.write_text(text(1, "trial most-share=0.05"))
+
+    def cli(*words):
+        result = gevent.get_hub().threadpool.apply(run, (commands.control, [str(x) for x in words]))
+        return result.exit_code, result.output
+
+    until(lambda: (tmp_path / "control.sock").exists())
+    assert cli("publish", tmp_path, file) == (0, "version 1 rolls out\n")
+    until(lambda: offered == [1])
+    assert cli("publish", tmp_path, file)[0] == 1
+    assert cli("rollback", tmp_path, 1) == (0, "version 2 brings 1 back\n")
+    assert cli("rollback", tmp_path, 7) == (1, "Error: no version 7; kept are 1 to 2\n")
+    code, said = cli("status", tmp_path)
+    assert code == 0 and "n0: here, holds" in said
+    assert orjson.loads(cli("status", tmp_path, "--json")[1])["ok"]
+    assert cli("confirm", tmp_path)[0] == 0 and cli("status", tmp_path / "none")[0] == 1
