Read versions without holding sockets up; measure the loop, the spread and memory

Change: half a millisecond's sleep, slices of 16 nodes, the map built and the trees let go by slices; benchmarks/versions.py.

--- /dev/null
+++ b/benchmarks/versions.py
@@ -0,0 +1,170 @@
+"""Versions on their way, measured: what reading a large one does to a front's loop, spread, memory.
+
+    python -m benchmarks.versions            # tables in Markdown; ratios within this run
+
+Fronts here are stand-ins of the wire alone; the service, the ledger and the reading are the real ones."""
+
+import gc
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+import gevent
+from gevent import socket
+
+from myrtleroad.config import rules, version
+from myrtleroad.config.entries import digest
+from myrtleroad.config.ledger import Check, Ledger, Name, Offer
+from myrtleroad.config.wire import Decoder, encode
+from myrtleroad.control.folder import Folder
+from myrtleroad.control.rollout import Phase, Plan
+from myrtleroad.control.service import Call, Service
+from myrtleroad.net.clock import Clock
+from myrtleroad.net.versions import PAUSE_S, SLICE_S
+
+TOLD = rules.Told({}, {}, (), 3, (1.0,), None, "192.0.2.7")
+
+
+def text(number: int, entries: int, note: str = "n") -> str:
+    lines = (f'  refuse "10.{n >> 8}.{n & 255}.0/24" note="{note}"' for n in range(entries))
+    return "\n".join((f"version {number}", "networks {", *lines, "}", ""))
+
+
+def holds(work: Callable[[], None], rate: float = 240.0) -> list[float]:
+    """How late each of a stream of wake-ups comes while ``work`` runs in a greenlet of its own; seconds."""
+    late: list[float] = []
+    done = gevent.event.Event()
+
+    def ticks() -> None:
+        due = time.perf_counter()
+        while not done.is_set():
+            due += 1 / rate
+            gevent.sleep(max(0.0, due - time.perf_counter()))
+            late.append(max(0.0, time.perf_counter() - due))
+
+    ticker = gevent.spawn(ticks)
+    gevent.sleep(0.2)
+    late.clear()
+    worker = gevent.spawn(work)
+    worker.join()
+    gevent.sleep(0.05)
+    done.set()
+    ticker.join()
+    return sorted(late)
+
+
+def sliced(data: bytes) -> None:
+    """As a front's versions actor reads: others run after each millisecond."""
+    begun = time.monotonic()
+    for _ in version.steps(data, TOLD, version.Version()):
+        if time.monotonic() - begun >= SLICE_S:
+            gevent.sleep(PAUSE_S)
+            begun = time.monotonic()
+
+
+def reading(entries: int) -> list[str]:
+    data = text(1, entries).encode()
+    gevent.sleep(0)
+    whole = holds(lambda: version.read(data, TOLD))
+    parts = holds(lambda: sliced(data))
+    idle = holds(lambda: gevent.sleep(0.5))
+    p99 = lambda late: late[int(0.99 * (len(late) - 1))]  # noqa: E731
+    return [
+        f"| longest hold, in one go against in slices | {whole[-1] / parts[-1]:.0f} |",
+        f"| 99% of wake-ups while read in slices against none being read | {p99(parts) / p99(idle):.1f} |",
+        f"| the longest hold in slices, of the whole time in one go | {parts[-1] / whole[-1]:.1%} |",
+    ]
+
+
+class Fronts:
+    """Many stand-ins that take whatever is offered, and count bytes."""
+
+    def __init__(self, service: Service, count: int):
+        self.bytes, self.held = 0, [0] * count
+        self.socks = [self.one(service, n) for n in range(count)]
+
+    def one(self, service: Service, n: int) -> socket.socket:
+        sock = socket.create_connection(service.at)
+        sock.sendall(encode("hello", name=f"n{n}", protocol=1, holds={"epoch": 0, "number": 0, "digest": ""}))
+        gevent.spawn(self.run, sock, n)
+        return sock
+
+    def run(self, sock: socket.socket, n: int) -> None:
+        decoder = Decoder()
+        try:
+            while data := sock.recv(1 << 16):
+                self.bytes += len(data)
+                for frame in decoder.feed(data):
+                    if frame.kind == "offer":
+                        f = {k: frame.fields[k] for k in ("nonce", "epoch", "number")}
+                        self.held[n] = f["number"]
+                        sock.sendall(encode("answer", **f, acked=True, code="", text=""))
+                gevent.sleep(0)
+        except OSError:
+            pass
+
+
+def spread(fronts: int, entries: int) -> list[str]:
+    with tempfile.TemporaryDirectory() as folder:
+        service = Service(Folder(Path(folder)), Plan((1.0,), watch_ms=0.0), Clock(), lambda *a, **k: None)
+        running = gevent.spawn(service.run)
+        many = Fronts(service, fronts)
+        while len(service.links) < fronts:
+            gevent.sleep(0.005)
+        costs = []
+        for number, body in ((1, text(1, entries)), (2, text(2, entries - 1))):
+            many.bytes, begin = 0, time.perf_counter()
+            service.mailbox.put(Call({"call": "publish", "text": body}, lambda reply: None))
+            while service.rollout.phase != Phase.DONE or min(many.held) < number:
+                gevent.sleep(0.005)
+            costs.append((time.perf_counter() - begin, many.bytes))
+        running.kill()
+        for sock in many.socks:
+            sock.close()
+    (whole_s, whole_bytes), (delta_s, delta_bytes) = costs
+    return [
+        f"| {fronts} fronts, {entries} entries: time, whole against a difference | {whole_s / delta_s:.1f} |",
+        f"| bytes, whole against a difference | {whole_bytes / delta_bytes:.0f} |",
+    ]
+
+
+def memory(few: int, many: int) -> list[str]:
+    """A front's ledger and contents after many versions against after few."""
+    sizes = []
+    for count in (few, many):
+        gc.collect()
+        tracemalloc.start()
+        ledger, contents = Ledger(), {}
+        ledger.opened(0)
+        base = version.read(text(1, 1000).encode()).entries
+        for n in range(1, count + 1):
+            entries = base.set(("trial", "most-share"), n / (2 * many))
+            offer = Offer(0, n, Name(1, n), digest(entries) if n < 50 else f"{n:032x}")
+            if ledger.offered(offer) == [Check(offer)]:
+                ledger.checked(n, 0)
+                contents[offer.name] = entries
+                ledger.applied(offer.name, float(n))
+                held = (ledger.force.name, ledger.good.name)
+                contents = {name: c for name, c in contents.items() if name in held}
+        gc.collect()
+        sizes.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+    return [f"| memory after {many} versions against after {few} | {sizes[1] / sizes[0]:.2f} |"]
+
+
+@click.command()
+def main() -> None:
+    """Print the tables of docs/design/config.md."""
+    click.echo("| a version of 10,000 entries read under wake-ups at 240 a second | |\n| --- | --- |")
+    click.echo("\n".join(reading(10_000)))
+    click.echo("\n| spread | |\n| --- | --- |")
+    click.echo("\n".join(spread(200, 1000)))
+    click.echo("\n| memory | |\n| --- | --- |")
+    click.echo("\n".join(memory(100, 10_000)))
+
+
+if __name__ == "__main__":
+    main()
--- a/myrtleroad/config/document.py
+++ b/myrtleroad/config/document.py
@@ -61,7 +61,7 @@
         self.faults: list[Fault] = []
         self.torn = False  # whether the text could not be cut into nodes, so that some are not seen at all
 
-    def steps(self, slice_nodes: int = 64) -> Iterator[None]:
+    def steps(self, slice_nodes: int = 16) -> Iterator[None]:
         """Reads on by slices of some nodes. A fault of one node doesn't hide those of others."""
         if len(self.text) > MOST_BYTES:
             self.torn = True
@@ -79,7 +79,7 @@
             return
         scanner = Scanner(text)
         try:
-            yield from scanner.run(4 * slice_nodes)
+            yield from scanner.run(slice_nodes)
         except Torn as torn:
             self.torn = True
             self.faults.append(Fault("syntax", torn.why, torn.line, torn.column))
@@ -95,6 +95,7 @@
                         if place.children:
                             work.append((place.children, node.children))
                 yield
+        yield from released(scanner.roots)
 
     def read(self, places: list[Place]) -> list[Node | None]:
         """These nodes, None for each that can't be read; in one call of the library where all can."""
@@ -123,6 +124,17 @@
         return Node(n.name, place.line, place.column, args, properties, [], place.text)
 
 
+def released(nodes: list, step: int = 128) -> Iterator[None]:
+    """Takes a tree apart by slices: to let go of a large one in one go holds the loop like reading it."""
+    work = [nodes]
+    while work:
+        nodes = work.pop()
+        while nodes:
+            work += [n.children for n in nodes[-step:] if n.children]
+            del nodes[-step:]
+            yield
+
+
 def read(text: bytes) -> tuple[list[Node], list[Fault]]:
     """The whole document at once: its nodes and what is wrong with it."""
     reading = Reading(text)
--- a/myrtleroad/config/entries.py
+++ b/myrtleroad/config/entries.py
@@ -21,7 +21,7 @@
 
 
 def flat(
-    roots: Iterable[Checked], into: dict[Path, Value], where: dict[Path, tuple[int, int]], step: int = 512
+    roots: Iterable[Checked], into: dict[Path, Value], where: dict[Path, tuple[int, int]], step: int = 128
 ) -> Iterator[None]:
     """What a document sets, and where; yields between slices. What has no value where one is needed was told
     by the check and is left out."""
--- a/myrtleroad/config/nets.py
+++ b/myrtleroad/config/nets.py
@@ -16,7 +16,7 @@
         for _ in self.steps(prefixes, default):
             pass
 
-    def steps(self, prefixes: Iterable[tuple[str, bool]], default: bool, step: int = 512) -> Iterator[None]:
+    def steps(self, prefixes: Iterable[tuple[str, bool]], default: bool, step: int = 128) -> Iterator[None]:
         self.default, self.tree = default, radix.Radix()
         for n, (prefix, admitted) in enumerate(prefixes, 1):
             self.tree.add(prefix).data["admits"] = admitted
--- a/myrtleroad/config/rules.py
+++ b/myrtleroad/config/rules.py
@@ -46,7 +46,7 @@
     told: Told,
     where: Where,
     into: list[Fault],
-    step: int = 512,
+    step: int = 128,
 ) -> Iterator[None]:
     """Every rule that the content breaks goes to ``into``; yields between slices."""
     for n, (path, value) in enumerate(entries.items(), 1):
--- a/myrtleroad/config/schema.py
+++ b/myrtleroad/config/schema.py
@@ -155,7 +155,7 @@
         self.roots: list[Checked] = []
         self.seen = 0
 
-    def steps(self, slice_nodes: int = 256) -> Iterator[None]:
+    def steps(self, slice_nodes: int = 64) -> Iterator[None]:
         yield from self.level(self.nodes, self.shapes, self.roots, "the document", slice_nodes)
 
     def level(
--- a/myrtleroad/config/version.py
+++ b/myrtleroad/config/version.py
@@ -7,7 +7,7 @@
 
 from myrtleroad.config import entries as content
 from myrtleroad.config import rules
-from myrtleroad.config.document import Fault, Reading, Value
+from myrtleroad.config.document import Fault, Reading, Value, released
 from myrtleroad.config.entries import Path
 from myrtleroad.config.schema import VERSION, Check
 
@@ -44,10 +44,16 @@
     yield
     pairs: dict[Path, Value] = {}
     yield from content.flat(check.roots, pairs, into.where)
-    into.entries = Map(pairs)
+    into.entries = Map()
+    while pairs:
+        part = [pairs.popitem() for _ in range(min(128, len(pairs)))]
+        into.entries = into.entries.update(part)
+        yield
     if told is not None and not into.faults:
         yield
         yield from rules.faults(into.entries, told, into.where, into.faults)
+    yield from released(check.roots)
+    yield from released(reading.roots)
     into.faults.sort(key=lambda f: (f.line, f.column))
 
 
--- a/myrtleroad/net/versions.py
+++ b/myrtleroad/net/versions.py
@@ -24,6 +24,7 @@
 ALIVE_S = 2.0  # a sign of life goes out so often
 SILENT_S = 5.0  # two signs of life and some room
 SLICE_S = 0.001  # reading a version lets others run after so long, once the slice of nodes it is in ends
+PAUSE_S = 0.0005  # and sleeps so long: a sleep of 0 lets greenlets run, but no socket in until 50 have run
 READ = 64 * 1024
 
 
@@ -142,7 +143,7 @@
             steps = self.read(offer, found)
             for _ in steps:
                 if time.monotonic() - begun >= SLICE_S:
-                    gevent.sleep(0)
+                    gevent.sleep(PAUSE_S)
                     begun = time.monotonic()
         except Exception as error:  # whatever is wrong with it, the offer gets its answer
             found.faults = [Fault("syntax", f"{type(error).__name__}: {error}")]
