Move a front to another control service on SIGHUP; differences found once for all fronts

Change: a front's own file is read again on SIGHUP and names the control service; what is in force stays meanwhile. The service finds a difference once for all fronts that hold the same. Tests of SIGHUP and SIGTERM in the moment of a version, of two services of different epochs, of a drip of bytes and a silent stream. A front without the file loads none of the new libraries.

--- a/myrtleroad/__main__.py
+++ b/myrtleroad/__main__.py
@@ -43,7 +43,7 @@
 
     try:
         told_now = told.read()
-        program = front.Front(told_now, control=control_of(also) if also else None)
+        program = front.Front(told_now, own=also)
     except told.Unclear as fault:
         sys.exit(f"myrtleroad: {fault}")
     except OSError as fault:
@@ -51,29 +51,6 @@
     program.run()
 
 
-def control_of(file: str) -> tuple[str, int] | None:
-    """The control service that a file of our own names. Ends the program where it can't be read."""
-    from pathlib import Path
-
-    from myrtleroad.config.document import read
-    from myrtleroad.config.schema import FRONT, Check
-    from myrtleroad.net.told import address
-
-    nodes, faults = read(Path(file).read_bytes())
-    check = Check(nodes, FRONT)
-    for _ in check.steps():
-        pass
-    faults += check.faults
-    if faults:
-        sys.exit("\n".join(f"myrtleroad: {f.said(file)}" for f in faults))
-    for root in check.roots:
-        try:
-            return address(str(root.arg))
-        except ValueError as error:
-            sys.exit(f"myrtleroad: {file}:{root.node.line}:{root.node.column}: {error}")
-    return None
-
-
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -86,6 +86,7 @@
         self.rollout.expect(self.state.fronts, clock())
         self.contents = {NONE: EMPTY}  # of the versions kept
         self.places: dict[Name, dict] = {}  # of their entries
+        self.parts: dict[tuple[Name, Name], dict | None] = {}  # differences; emptied by each publication
         self.texts: dict[Name, Published] = {}
         for p in self.state.published:
             self.keep(p)
@@ -214,16 +215,24 @@
         fields = {"nonce": link.nonce, "epoch": name.epoch, "number": name.number, "digest": p.digest}
         if p.confirm_ms is not None:
             fields["confirm_ms"] = p.confirm_ms
-        base = self.contents.get(link.holds)
-        if not whole and base is not None and link.holds != NONE:
-            delta = diff(base, self.contents[name])
+        part = None if whole else self.part(link.holds, name, len(p.text))
+        if part is not None:
+            link.put(encode("offer", **fields, **part))
+            return
+        link.put(encode("offer", **fields, text=p.text))
+
+    def part(self, base: Name, name: Name, size: int) -> dict[str, Any] | None:
+        """The difference from one version to another, found once for all fronts that hold the same; None
+        where it is not known or as long as the text."""
+        if base == NONE or base not in self.contents:
+            return None
+        if (base, name) not in self.parts:
+            delta = diff(self.contents[base], self.contents[name])
             changed = [[list(path), value] for path, value in delta.set.items()]
             part = {"set": changed, "dropped": [list(path) for path in delta.dropped]}
-            if 40 * len(delta) < len(p.text):  # an entry's share of a text, about
-                holds = {"epoch": link.holds.epoch, "number": link.holds.number}
-                link.put(encode("offer", **fields, base=holds, **part))
-                return
-        link.put(encode("offer", **fields, text=p.text))
+            part["base"] = {"epoch": base.epoch, "number": base.number}
+            self.parts[base, name] = part if 40 * len(delta) < size else None  # an entry's share of a text
+        return self.parts[base, name]
 
     # --- operators ---
 
@@ -268,6 +277,7 @@
         self.state.published.append(p)
         self.folder.save(self.state)  # before any front hears of it: numbers never go back
         self.keep(p)
+        self.parts.clear()
         for old in sorted(self.texts)[: -Folder.KEPT]:
             del self.texts[old], self.contents[old], self.places[old]
         self.log("published", epoch=p.epoch, number=number, entries=len(found.entries), of=of)
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -3,7 +3,6 @@
 import gc
 import os
 import signal
-from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
@@ -17,16 +16,13 @@
 from myrtleroad.net.log import Log, descriptors
 from myrtleroad.net.roster import Roster
 from myrtleroad.net.stream import Post
-from myrtleroad.net.told import Address, Moved, Told, Unclear, fixed, read
-
-if TYPE_CHECKING:
-    from myrtleroad.net.versions import Versions
+from myrtleroad.net.told import Moved, Told, Unclear, fixed, read
 
 LATE_S = 0.45  # new connections keep arriving for up to 0.4 s after SIGTERM
 
 
 class Front:
-    def __init__(self, told: Told, log_to: int = 1, control: Address | None = None):
+    def __init__(self, told: Told, log_to: int = 1, own: str | None = None):
         self.told, self.clock, self.counters = told, Clock(), Counters()
         self.log = Log(self.clock, log_to)
         self.brain = Brain(told, self.clock, self.counters, self.log)
@@ -40,12 +36,15 @@
         self.brain.vote = self.desk.mailbox.put
         self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
         self.stop, self.was_ready = Event(), False
-        self.versions: Versions | None = None
-        if control is not None:
-            from myrtleroad.net.bounds import Holder
+        self.own, self.versions = own, None
+        if own is not None:
+            # Loaded only where it is wanted: a front without fits its memory as before.
+            from myrtleroad.net import bounds
+            from myrtleroad.net.own import control
 
-            holder = Holder(told, self.clock, self.brain, self.roster, self.door)
-            self.versions = holder.versions(control, self.counters, self.log)
+            if (at := control(own)) is not None:
+                holder = bounds.Holder(told, self.clock, self.brain, self.roster, self.door)
+                self.versions = holder.versions(at, self.counters, self.log)
 
     def is_ready(self) -> bool:
         """Once the list and the platform's news are in the module, or could not be had anew."""
@@ -92,6 +91,16 @@
         self.roster.post(Moved(new.discovery))
         self.bulletin.post(Moved(new.platform))
         self.desk.mailbox.put(Moved(new.platform))
+        if self.versions is not None:
+            from myrtleroad.net.own import control
+
+            try:
+                at = control(self.own)
+            except Unclear as fault:
+                self.log("reload refused", why=str(fault))
+                return
+            if at is not None:
+                self.versions.mailbox.put(Moved(at))
 
     def drain(self) -> None:
         """Answer whatever comes while connections may still arrive, then what is held, then end."""
--- a/myrtleroad/net/versions.py
+++ b/myrtleroad/net/versions.py
@@ -18,7 +18,7 @@
 from myrtleroad.membership.asking import Asking, Manner
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
-from myrtleroad.net.told import UNREADABLE, Address, Told
+from myrtleroad.net.told import UNREADABLE, Address, Moved, Told
 
 CONNECT_S = 1.0  # as for the other streams
 ALIVE_S = 2.0  # a sign of life goes out so often
@@ -102,6 +102,10 @@
                     self.end(f"unreadable: {type(error).__name__}: {error}")
             case Judged(offer, found):
                 self.judged(offer, found)
+            case Moved(at) if at != self.at:
+                # What is in force stays in force meanwhile; two services at once would contradict each other.
+                self.at = at
+                self.end("moved")
 
     def came(self, frame: Frame) -> None:
         f = frame.fields
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 from click.testing import CliRunner
-from conftest import build_told, listed, silent
+from conftest import build_config, build_told, listed, silent
 from gevent import socket
 
 from myrtleroad import interface as i
@@ -50,7 +50,9 @@
 
     def front(self, name="n0"):
         told = build_told(listed("s-1", AT), listed("s-2", AT, zone="there"), name=name)
-        made = front.Front(told, os.open(os.devnull, os.O_WRONLY), control=self.service.at)
+        self.own = self.folder / "front.kdl"
+        self.own.write_text('control "{}:{}"'.format(*self.service.at))
+        made = front.Front(told, os.open(os.devnull, os.O_WRONLY), own=str(self.own))
         self.fronts.append(made)
         self.greenlets.append(gevent.spawn(made.run))
         until(lambda: name in self.service.links)
@@ -278,6 +280,56 @@
     assert len(seen[0]) < 400 and len(content) == 199
 
 
+def test_sighup_in_the_moment_of_a_version_moves_to_a_service_of_another_epoch(world, tmp_path, monkeypatch):
+    w = world()
+    f = w.front()
+    w.publish("trial most-share=0.05")
+    until(lambda: holds(f) == 1)
+    other = World(tmp_path / "other")
+    other.service.state.epoch = 2
+    (tmp_path / "config.json").write_bytes(orjson.dumps(build_config()))
+    monkeypatch.setenv("NODE_CONFIG", str(tmp_path / "config.json"))
+    w.own.write_text('control "{}:{}"'.format(*other.service.at))
+    other.publish("trial most-share=0.02")
+    w.publish("trial most-share=0.04")  # both at once, and the signal
+    f.reload()
+    until(lambda: f.versions.ledger.force.name.epoch == 2)
+    assert f.brain.balancer.most_share == 0.02 and f.counters.counts["faults"] == 0
+    w.publish("trial most-share=0.03")
+    gevent.sleep(0.05)
+    assert f.brain.balancer.most_share == 0.02
+    w.own.write_text("control 7")
+    f.reload()  # unclear: nothing changes
+    assert f.versions.at == other.service.at
+    other.kill()
+
+
+def test_a_drip_of_bytes_holds_nobody_and_a_silent_stream_ends(world, monkeypatch):
+    monkeypatch.setattr(service, "SILENT_S", 0.2)
+    w = world()
+    offered = scripted(w, "good", True)
+    drip, silent_one = (socket.create_connection(w.service.at) for _ in range(2))
+    w.publish("trial most-share=0.05")
+    for byte in encode("hello", name="drip", protocol=1, holds={"epoch": 0, "number": 0, "digest": ""}):
+        drip.sendall(bytes((byte,)))
+        gevent.sleep(0.005)
+    until(lambda: offered == [1] and "drip" in w.service.links)
+    with gevent.Timeout(3):
+        while silent_one.recv(4096):
+            pass
+
+
+def test_a_front_that_stops_in_the_moment_of_a_version_ends_in_order(world):
+    w = world()
+    f = w.front()
+    w.publish("trial most-share=0.05")
+    f.on_term()
+    f.reload()
+    with gevent.Timeout(5):
+        w.greenlets[0].join()
+    assert f.counters.counts["faults"] == 0
+
+
 def test_a_state_that_cannot_be_read_is_told_and_not_begun_over(tmp_path):
     (tmp_path / "state.json").write_bytes(b'{"epoch": 1')
     with pytest.raises(Unsound, match="higher epoch"):
