--- a/myrtleroad/net/versions.py
+++ b/myrtleroad/net/versions.py
@@ -137,9 +137,8 @@
                     self.answer(act)
                 case Tell(name, back_to, why):
                     self.counters.add("versions_rolled_back")
-                    self.log(
-                        "version rolled back", level="warning", epoch=name.epoch, number=name.number, why=why
-                    )
+                    gone = {"epoch": name.epoch, "number": name.number}
+                    self.log("version rolled back", level="warning", **gone, why=why)
                     back = {"epoch": back_to.epoch, "number": back_to.number}
                     self.send(encode("back", **gone, to=back, why=why))
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -178,6 +178,7 @@
     assert w.call(call="confirm")["fronts"] == 1
     gevent.sleep(1.2)
     assert holds(f) == 3 and f.versions.ledger.good.name.number == 3
+    assert f.counters.counts["faults"] == 0 and f.counters.counts["versions_lost"] == 0
 
 
 def test_the_cap_that_falls_narrows_a_version_in_force_at_once(world):
