Follow the old control service until the new one says something

Cause: a move to a wrong address cut a front off from every service. Change: a move begins the new stream beside the old one, which is left once the new one has said anything; each stream gets its own answers.

--- a/myrtleroad/net/versions.py
+++ b/myrtleroad/net/versions.py
@@ -69,8 +69,9 @@
         self.found = version.Version()  # the one that is being applied
         manner = Manner(told.facts.balancers, told.facts.rules.drain_grace_ms, ALIVE_S * 1000)
         self.asking = Asking(manner, Random(told.seed + 2).random)
-        self.stream, self.sock = 0, None
-        self.opened_at: float | None = None  # of the stream that stands
+        self.stream = 0  # the newest, of the address that holds now
+        self.socks: dict[int, socket.socket] = {}  # of the newest, and of one that a move has left behind
+        self.opened: dict[int, float] = {}  # since when each stands; both emptied as each ends
 
     # --- the actor ---
 
@@ -87,34 +88,44 @@
 
     def take(self, message: object) -> None:
         match message:
-            case Came(stream) if stream != self.stream:
-                pass  # of one that was given up
             case Came(stream, None, why):
-                self.ledger.dropped(stream)
-                self.sock = None
-                self.counters.add("versions_lost")
-                self.log("versions lost", level="warning", at=f"{self.at[0]}:{self.at[1]}", why=why)
-                stood = None if self.opened_at is None else self.clock() - self.opened_at
-                gevent.spawn_later(self.asking.pause(stood) / 1000, self.connect)
-            case Came(_, frame):
+                self.over(stream, why)
+            case Came(stream, frame) if stream in self.socks:
                 try:
-                    self.came(frame)
+                    self.came(frame, stream)
                 except UNREADABLE as error:
-                    self.end(f"unreadable: {type(error).__name__}: {error}")
+                    self.end(stream, f"unreadable: {type(error).__name__}: {error}")
             case Judged(offer, found):
                 self.judged(offer, found)
             case Moved(at) if at != self.at:
-                # What is in force stays in force meanwhile; two services at once would contradict each other.
+                # The old one is followed until the new one says something: a wrong address cuts nobody off.
                 self.at = at
-                self.end("moved")
+                gevent.spawn(self.connect)
 
-    def came(self, frame: Frame) -> None:
+    def over(self, stream: int, why: str) -> None:
+        """A stream has ended, or could not begin. Of the newest, another is begun."""
+        stood = self.clock() - self.opened.pop(stream) if stream in self.opened else None
+        if self.socks.pop(stream, None) is not None:
+            self.ledger.dropped(stream)
+        self.counters.add("versions_lost")
+        self.log("versions lost", level="warning", why=why)
+        if stream == self.stream:
+            gevent.spawn_later(self.asking.pause(stood) / 1000, self.again, stream)
+
+    def again(self, stream: int) -> None:
+        if stream == self.stream:  # no move has begun another meanwhile
+            self.connect()
+
+    def came(self, frame: Frame, stream: int) -> None:
         f = frame.fields
+        if stream == self.stream:
+            for left in [n for n in self.socks if n != stream]:
+                self.end(left, "moved")
         match frame.kind:
             case "offer":
                 name, confirm = Name(int(f["epoch"]), int(f["number"])), f.get("confirm_ms")
                 confirm_ms = None if confirm is None else float(confirm)
-                offer = Offer(self.stream, int(f["nonce"]), name, str(f["digest"]), confirm_ms, f)
+                offer = Offer(stream, int(f["nonce"]), name, str(f["digest"]), confirm_ms, f)
                 self.counters.add("versions_offered")
                 self.carry(self.ledger.offered(offer))
             case "confirm":
@@ -122,7 +133,7 @@
                 if self.ledger.confirmed(name):
                     self.log("version confirmed", epoch=name.epoch, number=name.number)
             case "bye":
-                self.end(str(f.get("why", "bye")))
+                self.end(stream, str(f.get("why", "bye")))
 
     # --- carrying out ---
 
@@ -140,7 +151,8 @@
                     gone = {"epoch": name.epoch, "number": name.number}
                     self.log("version rolled back", level="warning", **gone, why=why)
                     back = {"epoch": back_to.epoch, "number": back_to.number}
-                    self.send(encode("back", **gone, to=back, why=why))
+                    for stream in list(self.socks):
+                        self.send(stream, encode("back", **gone, to=back, why=why))
 
     def check(self, offer: Offer) -> None:
         """In a greenlet of its own: reads by slices and lets others run between them."""
@@ -216,7 +228,7 @@
         if not a.acked:
             self.log("version refused", level="warning", **name, code=a.code, text=a.text)
         why = {"code": a.code, "text": a.text, "path": a.path}
-        self.send(encode("answer", nonce=a.nonce, **name, acked=a.acked, **why))
+        self.send(a.stream, encode("answer", nonce=a.nonce, **name, acked=a.acked, **why))
 
     # --- the stream ---
 
@@ -224,17 +236,16 @@
         """Opens a stream and reads it to its end, which is posted once."""
         self.stream += 1
         number, why, sock = self.stream, "ended", None
-        self.opened_at = None
         try:
             sock = socket.create_connection(self.at, CONNECT_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(SILENT_S)
-            self.sock, self.opened_at = sock, self.clock()
+            self.socks[number], self.opened[number] = sock, self.clock()
             self.ledger.opened(number)
             force = self.ledger.force
             holds = {"epoch": force.name.epoch, "number": force.name.number, "digest": force.digest}
-            self.send(encode("hello", name=self.told.name, protocol=1, holds=holds))
-            gevent.spawn(self.signs, sock)
+            self.send(number, encode("hello", name=self.told.name, protocol=1, holds=holds))
+            gevent.spawn(self.signs, number)
             decoder = Decoder()
             while data := sock.recv(READ):
                 for frame in decoder.feed(data):
@@ -246,25 +257,25 @@
                 sock.close()
             self.mailbox.put(Came(number, None, why))
 
-    def signs(self, sock: socket.socket) -> None:
-        while sock is self.sock:
+    def signs(self, stream: int) -> None:
+        while stream in self.socks:
             gevent.sleep(ALIVE_S)
-            if sock is self.sock:
-                self.send(encode("alive"))
+            self.send(stream, encode("alive"))
 
-    def send(self, frame: bytes) -> None:
+    def send(self, stream: int, frame: bytes) -> None:
         """Never waits for long: a front's frames are small, and a peer that takes none is of no use."""
-        if self.sock is not None:
+        if (sock := self.socks.get(stream)) is not None:
             try:
                 with gevent.Timeout(CONNECT_S, TimeoutError):
-                    self.sock.sendall(frame)
+                    sock.sendall(frame)
             except OSError as error:
-                self.end(f"{type(error).__name__}: {error}")
+                self.end(stream, f"{type(error).__name__}: {error}")
 
-    def end(self, why: str) -> None:
-        """Its reader sees the end and posts it."""
-        sock, self.sock = self.sock, None
+    def end(self, stream: int, why: str) -> None:
+        """Nothing more goes out on it; its reader sees the end and posts it."""
+        sock = self.socks.pop(stream, None)
         if sock is not None:
+            self.ledger.dropped(stream)
             self.log("versions ended", why=why)
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -303,6 +303,15 @@
     w.publish("trial most-share=0.03")
     gevent.sleep(0.05)
     assert f.brain.balancer.most_share == 0.02
+    standing = set(f.versions.socks)
+    w.own.write_text('control "127.0.0.1:9"')  # nobody is there: the one that stands is followed on
+    f.reload()
+    gevent.sleep(0.05)
+    assert standing <= set(f.versions.socks) and other.publish("trial most-share=0.01")["number"] == 2
+    until(lambda: f.brain.balancer.most_share == 0.01)
+    w.own.write_text('control "{}:{}"'.format(*other.service.at))
+    f.reload()
+    until(lambda: len(f.versions.socks) == 1 and f.versions.stream in f.versions.socks)
     w.own.write_text("control 7")
     f.reload()  # unclear: nothing changes
     assert f.versions.at == other.service.at
