Three tests for changes that no test turned red

Cause: ten lines were broken on purpose; three breaks stayed green: a look just before the first byte, the waking of a follower, a version that was in force and is not any more. Change: a test for each.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -121,6 +121,7 @@
     found = Ledger(Held(Name(2, 7), "d2.7", Mark.CONFIRMED), Name(2, 9))
     found.opened(0)
     assert found.force.name == Name(2, 7) and codes(put(found, offer(8, epoch=2))) == [(8, "older")]
+    assert codes(put(found, offer(9, epoch=2))) == [(9, "older")]  # it was in force, and is not any more
     assert codes(put(found, offer(7, epoch=2))) == [(7, "acked")]
 
 
--- a/tests/test_lists_first.py
+++ b/tests/test_lists_first.py
@@ -17,6 +17,7 @@
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.head import Message
+from myrtleroad.net.stream import Over
 from myrtleroad.net.told import Moved, listing
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -283,6 +284,39 @@
     assert h.front.counters.counts["sends_stopped_by_list"] == 5
 
 
+def test_what_comes_between_the_connection_and_the_first_byte_is_seen(held, monkeypatch):
+    h = held()
+    h.rows.append(listed("s-2", h.second.at))
+    text, connect = h.listing(9, {"lifecycle": "terminating"}, {}), machine.Machine.connect
+    told_at = []
+
+    def then_told(self, job):
+        link = connect(self, job)
+        if not told_at:  # from here to the first byte nobody else runs
+            told_at.append(h.discovery.conns[0].send(text))
+        return link
+
+    monkeypatch.setattr(machine.Machine, "connect", then_told)
+    h.connect(1)
+    h.ask()
+    met, got = h.answered()
+    assert met == [0, 1] and got == [b"HTTP/1.1 200"] and told_at == [len(text)]
+
+
+def test_a_follower_whose_messages_another_takes_wakes_for_what_they_made_due(held):
+    h = held()
+    roster = h.front.roster
+    gevent.sleep(0.01)  # it sleeps until the next sign of life is late
+    stream = roster.streams[0]
+    roster.mailbox.put(Over(stream, "reset"))
+    roster.settle()  # as the brain's look does
+    at = h.front.clock()
+    while len(h.discovery.conns) < 2:
+        gevent.sleep(0.001)
+        h.discovery.accept()
+    assert h.front.clock() - at < 500.0
+
+
 def test_a_machine_that_goes_and_returns_under_its_id_gets_nothing_meant_for_the_one_before(held):
     h = held()
     h.warm(CROWD)
