A halt outlasts the control service; its numbers and texts decided in a pure module

Cause: reading the change again: a service that was restarted began a halted rollout anew, and the number of a version, the way back after a restart and the choice between text and difference were decided in the sockets' file. A class for numbers was dead. Change: the halt is written down and taken up by Rollout.resume; control/numbering.py decides the rest; the dead class is out. Tests: a halt over a restart, a wall clock that jumps.

--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -36,6 +36,7 @@
     number: int = 0  # the highest of this epoch
     base: tuple[int, int] = (0, 0)  # what every front should hold
     published: list[Published] = field(default_factory=list)  # the newest KEPT
+    halted: str = ""  # why the last one was halted
     fronts: list[str] = field(default_factory=list)  # that have come: a restarted service waits for them
 
 
@@ -54,7 +55,8 @@
             m = orjson.loads(file.read_bytes())
             versions = [Published(**p) for p in m["published"]]
             fronts = [str(name) for name in m["fronts"]]
-            return State(int(m["epoch"]), int(m["number"]), tuple(m["base"]), versions, fronts)
+            halted = str(m["halted"])
+            return State(int(m["epoch"]), int(m["number"]), tuple(m["base"]), versions, halted, fronts)
         except (KeyError, TypeError, ValueError) as error:
             raise Unsound(
                 f"{file}: {error}; put back a copy, or remove it and begin at a higher epoch"
@@ -68,6 +70,7 @@
                 "epoch": state.epoch,
                 "number": state.number,
                 "base": list(state.base),
+                "halted": state.halted,
                 "fronts": state.fronts,
                 "published": [{n: getattr(p, n) for n in p.__slots__} for p in state.published],
             }
--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -8,7 +8,7 @@
 that have met the one that is halted."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import IntEnum
 
 from myrtleroad.config.ledger import NONE, Name
@@ -123,6 +123,19 @@
             f.stand, f.code, f.text = Stand.WAITING, "", ""
         return self.go(now)
 
+    def resume(self, last: Name, halted: str, now: float) -> list[Act]:
+        """After a restart of the service: ``last`` is the last version that was published, ``halted`` why it
+        was halted, "" where it was not. Guards against a rollout that is forgotten (it begins again at ring
+        one, and fronts that hold the version count as having acknowledged it), and against a halt that a
+        restart would lift."""
+        if last <= self.base:
+            return []
+        acts = self.publish(last, now)
+        if not halted:
+            return acts
+        self.phase, self.why = Phase.HALTED, halted
+        return []
+
     def expect(self, fronts: Iterable[str], now: float) -> None:
         """Fronts of an earlier life of the service: away as of now. Guards against a restarted service that
         takes the first front that comes for all of them, and its ring for done."""
@@ -260,20 +273,3 @@
         if self.ring_done is not None:
             times.append(self.ring_done + self.plan.watch_ms)
         return min(times)
-
-
-@dataclass(slots=True)
-class Numbers:
-    """Names of versions that only go up, also over restarts: each start takes the next epoch, unless the
-    number of the last life is known for certain."""
-
-    epoch: int
-    number: int = 0
-    published: dict[str, Name] = field(default_factory=dict)  # by digest; as many as contents are kept
-
-    def next(self, digest: str) -> Name:
-        """The name for this content; the same content twice in a row keeps its name."""
-        self.number += 1
-        name = Name(self.epoch, self.number)
-        self.published[digest] = name
-        return name
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -22,6 +22,8 @@
 from myrtleroad.config.scan import MOST_BYTES
 from myrtleroad.config.wire import Decoder, Frame, Spoilt, encode
 from myrtleroad.control.folder import Folder, Published
+from myrtleroad.control.numbering import FIRST_EPOCH, Taken, as_difference
+from myrtleroad.control.numbering import number as numbered
 from myrtleroad.control.rollout import Act, Finished, Halted, Phase, Plan, Rollout, Send
 
 ALIVE_S, SILENT_S = 2.0, 5.0  # as the fronts': docs/formats/config-stream.md
@@ -79,23 +81,17 @@
     ):
         self.folder, self.clock, self.log = folder, clock, log
         self.state = folder.load()
-        # A life of the service is an epoch of its own unless its numbers are known: they are, from the
-        # folder.
-        self.state.epoch = max(1, self.state.epoch)
+        self.state.epoch = max(FIRST_EPOCH, self.state.epoch)  # it goes up by hand alone
         self.rollout = Rollout(plan, Name(*self.state.base))
         self.rollout.expect(self.state.fronts, clock())
+        self.links: dict[str, Link] = {}  # by the front's name; emptied as each ends
         self.contents = {NONE: EMPTY}  # of the versions kept
         self.places: dict[Name, dict] = {}  # of their entries
         self.parts: dict[tuple[Name, Name], dict | None] = {}  # differences; emptied by each publication
         self.texts: dict[Name, Published] = {}
         for p in self.state.published:
             self.keep(p)
-        last = max(self.texts, default=NONE)
-        if last > self.rollout.base:
-            # Guards against a rollout that is forgotten as the service is killed: it begins again at
-            # ring one, and fronts that hold the version already count as having acknowledged it.
-            self.rollout.publish(last, clock())
-        self.links: dict[str, Link] = {}  # by the front's name; emptied as each ends
+        self.carry(self.rollout.resume(max(self.texts, default=NONE), self.state.halted, clock()))
         self.mailbox: SimpleQueue = SimpleQueue()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -200,6 +196,8 @@
                     if (link := self.links.get(front)) is not None and name != NONE:
                         self.offer(link, name)
                 case Halted(name, why):
+                    self.state.halted = why
+                    self.folder.save(self.state)
                     self.log("rollout halted", epoch=name.epoch, number=name.number, why=why)
                 case Finished(name):
                     self.state.base = (name.epoch, name.number)
@@ -231,7 +229,7 @@
             changed = [[list(path), value] for path, value in delta.set.items()]
             part = {"set": changed, "dropped": [list(path) for path in delta.dropped]}
             part["base"] = {"epoch": base.epoch, "number": base.number}
-            self.parts[base, name] = part if 40 * len(delta) < size else None  # an entry's share of a text
+            self.parts[base, name] = part if as_difference(delta, size) else None
         return self.parts[base, name]
 
     # --- operators ---
@@ -266,14 +264,12 @@
         found = version.read(text.encode())
         if found.faults:
             raise Refused("\n".join(f.said("it") for f in found.faults[:20]))
-        number = self.state.number + 1
-        if of is None and found.number <= self.state.number:
-            raise Refused(
-                f"version {found.number}, but {self.state.number} has been published; number it {number}"
-            )
-        number = number if of is not None else found.number
+        try:
+            number = numbered(found.number if of is None else None, self.state.number)
+        except Taken as taken:
+            raise Refused(str(taken)) from None
         p = Published(self.state.epoch, number, digest(found.entries), text, found.confirm_ms, found.note, of)
-        self.state.number = number
+        self.state.number, self.state.halted = number, ""
         self.state.published.append(p)
         self.folder.save(self.state)  # before any front hears of it: numbers never go back
         self.keep(p)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -2,6 +2,7 @@
 
 import os
 import struct
+import time
 from types import SimpleNamespace
 
 import gevent
@@ -234,6 +235,24 @@
     until(lambda: w.service.rollout.phase == Phase.HALTED)
     gevent.sleep(0.05)
     assert offered == [[1], [1], [1]] + [[]] * 7
+    w.serve(w.kill())  # a halt outlasts the service
+    assert w.service.rollout.phase == Phase.HALTED and "range" in w.service.rollout.why
+    again = scripted(w, "n0", answer=True)
+    gevent.sleep(0.05)
+    assert again == [] and w.call(call="rollback", to=1) == {"ok": True, "number": 2}
+    until(lambda: again == [2])
+
+
+def test_a_wall_clock_that_jumps_moves_neither_confirmations_nor_signs_of_life(world, monkeypatch):
+    w = world()
+    f = w.front()
+    w.publish("trial most-share=0.05", head="confirm=(s)60")
+    until(lambda: holds(f) == 1)
+    now, wall = f.clock(), time.time
+    for jump in (-86_400.0, 86_400.0):
+        monkeypatch.setattr(time, "time", lambda jump=jump: wall() + jump)
+        gevent.sleep(0.05)
+        assert 0.0 <= f.clock() - now < 10_000.0 and holds(f) == 1 and "n0" in w.service.links
 
 
 @pytest.mark.parametrize(
