--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -4,9 +4,11 @@
 hands it events and runs ``serve(rq, now)`` of each req. See ``interface.py`` and ``docs/design.md``.
 """
 
+from bisect import bisect
 from collections import deque
 from collections.abc import Generator, Iterable
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import sqrt
 from random import Random
 
@@ -203,9 +205,9 @@
         self.most_share = 1.0  # of a trial, that operators allow
         self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
-        self.usual_met, self.newest, self.mean_open, self.peers = 2.0, 0.0, 0.0, 0.0
-        # Fronts taken to send alike, two at most: of more the guess outweighs what is known (docs/design.md).
-        self.alike = min(2, facts.balancers - 1) if facts.load_column is not None else 0
+        self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
+        self.level, self.mean_size = 0.0, 1.0  # reported load beyond our own a size, warm; size of a machine
+        self.steps: dict[bool, list[float]] = {}  # sums of the sizes along each side, for draws by size
         self.strain = 0.0  # recent times over objectives, by route and how many were seen
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
@@ -239,6 +241,8 @@
         self.sides = {x: [m for m in live if self.on_trial(m.row.build) == x] for x in (False, True)}
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         self.newest = max(starts, default=0.0)
+        self.steps = {x: list(accumulate(self.size(m) for m in side)) for x, side in self.sides.items()}
+        self.mean_size = sum(map(self.size, live)) / max(1, len(live))
         self.open = sum(len(m.out) for m in self.machines.values() if not self.apart(m))
 
     def stage_news(self, event: i.StageNews, now: float) -> list[i.Action]:
@@ -353,7 +357,9 @@
         route, share = self.facts.routes[r], min(ended.took_ms / self.facts.routes[r].objective_ms, 1.5)
         self.open -= not apart
         if ended.load is not None:
-            m.others += 0.1 * (ended.load - len(m.out) - m.others)
+            beyond = ended.load - len(m.out)
+            m.others += 0.1 * (beyond - m.others)
+            self.level += 0.05 * (beyond / (self.size(m) * self.warmth(m, now)) - self.level)
         if ended.end == End.TIMEOUT and share < 0.9:
             return  # the client's own patience was short: nothing is known of machine, build or queue
         if done:
@@ -406,10 +412,15 @@
     def resting(self, machines: Iterable[Machine], now: float) -> int:
         return sum(m.ejected_until > now for m in machines)
 
+    def size(self, m: Machine) -> float:
+        return max(m.row.weight, 0.1)
+
     def expected(self, m: Machine, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
-        m.others = self.peers + (m.others - self.peers) * 0.93**ticks  # what is not seen fades
+        size = self.size(m) * self.warmth(m, now)
+        usual = max(0.0, self.level) * size
+        m.others = usual + (m.others - usual) * 0.93**ticks  # what is not seen fades
         m.known, m.pace = m.known * 0.99**ticks, (pace := 1 + (m.pace - 1) * 0.99**ticks)
         if m.out:
             oldest = next(iter(m.out.values()))
@@ -417,7 +428,10 @@
         if now - m.linked > 2000:  # a front that is refused connections stays with those it has
             pace *= 1 + 20 * self.squeeze
         pace *= (1 + m.failing) * (1.15 if m.row.zone != self.facts.zone else 1.0)  # crossing is priced
-        return (len(m.out) + max(0.0, m.others) + 1) * pace / self.warmth(m, now) / max(m.row.weight, 0.1)
+        # One req more counts as on a machine of the mean size: a large one is no quicker while both have
+        # room, and preferred by every front at once it has none.
+        one = self.size(m) / self.mean_size
+        return (len(m.out) + max(0.0, m.others) + one) * pace / size
 
     SAMPLE = 12  # machines ranked at most: bounds the work, and fronts alike do not all find the same one
 
@@ -425,7 +439,10 @@
         """The best of a few drawn machines; of all, resting and tried ones too, where none of these may."""
         pool = few = self.sides[side]
         if len(pool) > self.SAMPLE:
-            few = [pool[int(self.random() * len(pool))] for _ in range(self.SAMPLE)]
+            # Drawn by size and warmth, so that fronts that know nothing load all machines alike.
+            steps = self.steps[side]
+            few = [pool[bisect(steps, self.random() * steps[-1])] for _ in range(self.SAMPLE)]
+            few = [m for m in few if m.row.started <= 0 or self.random() < self.warmth(m, now)]
         few = [m for m in few if m.ejected_until <= now and all(m is not p for p, _, _ in past)]
         fit = [m for m in few if self.may_take(m, rq, now, past)]
         fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
@@ -456,7 +473,7 @@
         if not self.sides[True]:
             self.part, self.credit = 0.0, self.random()  # fronts alike must not all begin at once
             return
-        size = [sum(max(m.row.weight, 0.1) * self.warmth(m, now) for m in x) for x in self.sides.values()]
+        size = [sum(self.size(m) * self.warmth(m, now) for m in x) for x in self.sides.values()]
         # Guards against judging our own push: on busy machines a third more tries is a queue, not a build.
         # Counts, where there are any, judge at twice the slowness and want the tries.
         calm = 1.0 if self.facts.rollout.counts_every_ms else max(0.0, 1 - self.strain / self.TARGET)
@@ -516,7 +533,6 @@
     def adapt(self) -> None:
         """Once a tick: fewer open tries while answers come late, more while the limit binds."""
         self.mean_open += 0.1 * (self.open - self.mean_open)
-        self.peers = self.mean_open * self.alike / max(1, len(self.machines))
         out = max(self.open, self.mean_open)  # a small front has none out at most looks
         self.seen = [0.98 * x for x in self.seen]  # a jam without answers must not hold the limit for good
         fair = [r for r in range(len(self.seen)) if not self.slow(r)]
