Read a whole list of a thousand machines: discovery's answers have a limit of their own

Cause, from reading and a test: Roster.fetch read the whole list through head.Answers, whose bodies end at 64 KiB, the protocol's limit for reqs. An entry is some 190 bytes, so from about 350 machines on Unfit was raised each time ('list whole missed') and the list could never be had; a line of a watch may hold 1 MiB. Answers now takes its limit (most), and a fetched list may be as long as a watch's line, some 5,000 machines.

--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -178,12 +178,12 @@
 
 
 class Answers:
-    """Reads the answers of one connection to a peer: each whole, or as a stream whose pieces are taken as
-    they come."""
+    """Reads the answers of one connection to a peer: each whole, of ``most`` bytes of body, or as a stream
+    whose pieces are taken as they come."""
 
-    def __init__(self, stream: bool = False) -> None:
+    def __init__(self, stream: bool = False, most: int = BODY_LIMIT) -> None:
         self.parser = httptools.HttpResponseParser(self)
-        self.stream = stream
+        self.stream, self.most = stream, most
         self.reset()
 
     def reset(self) -> None:
@@ -225,14 +225,14 @@
         framed = length is not None or status in (204, 304)
         if not 200 <= status < 600 or not (framed if coding is None else coding.lower() == b"chunked"):
             raise Unfit(502)
-        if length is not None and int(length) > BODY_LIMIT:
+        if length is not None and int(length) > self.most:
             raise Unfit(502)
 
     def on_body(self, data: bytes) -> None:
         if self.complete:
             return
         self.held += len(data)
-        if self.held > BODY_LIMIT and not self.stream:
+        if self.held > self.most and not self.stream:
             raise Unfit(502)
         self.answer.body.append(data)
 
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -12,7 +12,7 @@
 from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
-from myrtleroad.net.stream import CONNECT_S, Follower, Post, Stream
+from myrtleroad.net.stream import CONNECT_S, LINE_LIMIT, Follower, Post, Stream
 from myrtleroad.net.told import UNREADABLE, Entry, Listing, Told, count, entries, loads
 
 SIGN_MS = 2000.0  # an empty line comes so often while nothing changes (protocol)
@@ -108,7 +108,7 @@
 
     def fetch(self, source: int) -> Fetched:
         """The whole list, in one call of its own."""
-        sock, answers = None, head.Answers()
+        sock, answers = None, head.Answers(most=LINE_LIMIT)  # as long as on a watch's one line
         self.counters.add("lists_fetched")
         try:
             with gevent.Timeout(FETCH_S, TimeoutError):
