Understand a refused vote whose error stands in a Response, and try it again soon

To blame: desk.news_of asked for Error as the root; the protocol page shows the error alone and the good answer in a Response. Ruled out: resets of the call (50 of 1,098). Changed: the error is found at the root or within; what stays unclear is logged ('vote unclear').

--- a/myrtleroad/net/desk.py
+++ b/myrtleroad/net/desk.py
@@ -47,12 +47,21 @@
         if result.status == 200:
             item = root.find("entries/item")
             return stage_news({child.tag: child.text for child in item}, answers_vote=True)
-        code = root.findtext("Code", "") if root.tag == "Error" else ""
+        # The protocol shows the error alone; a platform that answers calls in a Response puts it in there.
+        error = root if root.tag == "Error" else root.find(".//Error")
+        code = error.findtext("Code", "") if error is not None else ""
         return unanswered(ERRORS.get((result.status, code), i.End.TIMEOUT))
     except (ET.ParseError, *UNREADABLE):
         return unanswered(i.End.TIMEOUT)
 
 
+def said(result: Answer | Broken) -> str:
+    """What came of a vote, for the log."""
+    if isinstance(result, Broken):
+        return f"{result.reach.name} {result.cause} {result.detail}"
+    return f"{result.status} {b''.join(result.body)[:200].decode('latin-1')}"
+
+
 class Bulletin(Follower):
     """The platform's stream of news."""
 
@@ -103,6 +112,8 @@
                 continue
             result = self.cast(message)
             news = news_of(result)
+            if news.end == i.End.TIMEOUT:
+                self.log("vote unclear", level="warning", what=said(result))
             self.counters.add(f"votes_{news.end.name.lower()}")
             self.log("vote answered", end=news.end.name, build=news.build, stage=news.stage)
             self.deliver(news)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -270,6 +270,7 @@
         (Answer(200, [], [STATE[:-30]]), i.End.TIMEOUT),
         (Answer(200, [], [b"<Response/>"]), i.End.TIMEOUT),
         (Answer(400, [], xml(b"throttled")), i.End.FULL),
+        (Answer(400, [], [b"<Response>%b</Response>" % xml(b"throttled")[0]]), i.End.FULL),
         (Answer(400, [], xml(b"conflict")), i.End.MOOT),
         (Answer(400, [], xml(b"invalid")), i.End.ERRORED),
         (Answer(500, [], xml(b"internal")), i.End.ERRORED),
@@ -357,3 +358,27 @@
     with pytest.raises(told.Unclear) as fault:
         told.decode(text)
     assert "\n" not in str(fault.value)
+
+
+@pytest.mark.parametrize("framing", [b"length", b"chunked"])
+def test_a_whole_list_of_a_thousand_machines_is_read(framing):
+    entries = [listed(f"s-{n:08x}", ("10.0.0.1", n)) for n in range(1024)]
+    body = orjson.dumps({"generation": 9, "reset": True, "instances": entries})
+    head_of = b"Content-Length: %d" % len(body) if framing == b"length" else b"Transfer-Encoding: chunked"
+    sent = body if framing == b"length" else b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+    def talk(sock):
+        read_req(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n%b\r\n\r\n%b" % (head_of, sent))
+
+    r, _ = build_roster(Peer(talk).at)
+    assert len(r.fetch(0).said.entries) == 1024
+
+
+def test_a_whole_list_without_an_end_is_given_up():
+    def talk(sock):
+        read_req(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (stream.LINE_LIMIT + 1))
+
+    r, _ = build_roster(Peer(talk).at)
+    assert r.fetch(0).said is None
