Small fronts: joint verdicts on few samples, cuts by evidence, cold parts by luck

To blame: Judge.FLOOR (20 a side, reached by nobody), alpha by Markov's bound (0.004 where 18 of 220 must err), the one look a stage 1.9 s after the newest start while machines count from 3 s on, and BACK waiting F / calls_per_s = 14 s for its turn after an ON. Changed: the fronts that must agree bring 20 samples together (five each at least); alpha is the binomial's where so many of all would err with chance 0.05; one short of samples looks again once it has them, and waits 4 s (the design's age) from when machines count at the stage whose next one opens most of the fleet; a word back does not wait for its turn. With one vote to decide nothing changes. Tests: each of these fails without its change.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -8,12 +8,12 @@
 from collections import deque
 from collections.abc import Generator, Iterable
 from dataclasses import dataclass, field
-from itertools import accumulate
+from itertools import accumulate, pairwise
 from math import sqrt
 from random import Random
 
 import numpy as np
-from scipy.special import ndtr, stdtr
+from scipy.special import bdtri, ndtr, stdtr
 
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
@@ -35,7 +35,8 @@
 @dataclass(slots=True, eq=False)
 class Machine:
     row: i.Row
-    luck: float  # drawn once a start: which fronts may send a cold machine the last part of a try
+    luck: float = 0.0  # drawn anew each window: which fronts may send a cold machine the last part of a try
+    luck_until: float = -1e9
     out: dict[tuple[int, int], Try] = field(default_factory=dict)  # emptied by each try's one ending
     others: float = 0.0  # load reported beyond our own
     pace: float = 1.0  # our latencies here over the usual ones of their routes
@@ -45,7 +46,7 @@
     linked: float = -1e9  # when a connection to it was last known to work
     took: float = -1e9  # when a try was sent that it completed: it drained not then
     faded: float = 0.0  # when what is not seen was last faded
-    sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see cold_room
+    sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see draw
 
 
 def trimmed(sample: list[Sample]) -> tuple[np.ndarray, np.ndarray, int]:
@@ -71,13 +72,19 @@
 
 
 class Judge:
-    FLOOR, HINT = 20, 5  # samples a side before a test, the design's starting value; before a hold
+    FLOOR = 20  # samples a side before a test (design), of the fronts that decide together
+    HINT, PATIENCE = 5, 4000.0  # samples of a hold; the design's stage age, for a front short of samples
     MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
     YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
     KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
 
     def __init__(self, facts: i.Facts):
-        self.alpha = 0.05 * max(1, facts.rollout.back_votes) / facts.balancers  # as many err: 0.05 (Markov)
+        self.need = need = max(1, min(facts.rollout.back_votes, facts.balancers))
+        self.alpha = float(bdtri(need - 1, facts.balancers, 0.95))  # so many of all err with chance 0.05
+        self.floor, self.short = max(self.HINT, -(-self.FLOOR // need)), True
+        # The stage whose next one opens most of the fleet: what is voted on blindly there, all get.
+        steps = enumerate(pairwise(facts.rollout.caps))
+        self.leap = next((n for n, (now, then) in steps if now < 0.5 < then and need > 1), -1)
         self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
         self.earlier, self.trial = (deque(maxlen=self.KEEP) for _ in range(2))
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
@@ -130,7 +137,7 @@
 
     def judge(self, stage: int, age: float, released: bool, laden: bool = False) -> tuple[Verdict, str]:
         """The vote for this stage, tested once; each stage age after a release counts as a stage."""
-        if self.told and self.build > 0 and min(len(self.trial), len(self.earlier)) < self.FLOOR:
+        if self.told and self.build > 0 and min(len(self.trial), len(self.earlier)) < self.floor:
             # Exception: a front short of samples goes by the platform's counts, the same for all fronts.
             self.told, p = False, self.counted(released)
             if p < 0.001 and self.verdict != Verdict.BACK:  # under 0.05 for a day's counts together
@@ -140,9 +147,13 @@
         again = self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
         if self.verdict == Verdict.BACK or age < self.stage_age:
             return (Verdict.BACK if self.verdict == Verdict.BACK else Verdict.NONE), ""
-        if self.tested == key and not again:
+        # Tested once a stage; where several decide, one short of samples votes without and tests later.
+        short = self.need > 1 and min(len(self.trial), len(self.earlier)) < self.floor
+        if self.tested == key and not again and (short or not self.short):
             return self.verdict, ""
-        self.tested = key
+        if short and self.leap == stage and not released and age < self.YOUNG + self.PATIENCE:
+            return Verdict.NONE, ""  # samples only begin as the stage's machines are no longer young
+        self.tested, self.short = key, short
         # Exception: against the time before the trial, completed tries only, over the tries met: for a build
         # that slows all machines (all tell it while laden) or turns bad late. Hurts if they slow otherwise.
         both = [x for x in self.earlier if laden and not released and self.trial and x[2] >= self.trial[0][2]]
@@ -177,7 +188,7 @@
                 p, y2, y1 = yuen_cuped(a, b, margin)
                 text = f"trimmed means {y2:.3g} and {y1:.3g}, n {len(a)} and {len(b)}, p {p:.4f}"
                 # Guards against an on to a trial whose few samples are plainly slow.
-                p, full = min(1.0, p * len(views)), min(len(a), len(b)) >= self.FLOOR
+                p, full = min(1.0, p * len(views)), min(len(a), len(b)) >= self.floor
                 past = p if y2 > margin * y1 and (full or p < 0.1) else 1.0
                 results.append((p if full else 1.0, past, text))
         return min(results[1:], default=results[0])
@@ -202,16 +213,20 @@
         self.spare_tries, self.squeeze = 5.0, 0.0  # retry budget; share of tries not connected
         self.done_cost, self.rate, self.rate_at, self.refused_at, self.refusing = 0.0, 0.0, now, -1e9, False
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
+        self.retry_at = 0.0  # after a call that did not count
         self.most_share = 1.0  # of a trial, that operators allow
         self.blind_at = float("inf")  # when the last word came, where the list is followed no more
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
         self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
         self.level, self.mean_size = 0.0, 1.0  # reported load beyond our own a size, warm; size of a machine
         self.steps: dict[bool, list[float]] = {}  # sums of the sizes along each side, for draws by size
+        self.young: dict[bool, list[Machine]] = {}  # those of each side that are cold
         self.strain = 0.0  # recent times over objectives, by route and how many were seen
+        self.fresh = 0  # of them since the last tick
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
         self.density = [r.benefit / (1 if facts.benefit_by_work else r.objective_ms) for r in facts.routes]
         self.tenant_used = [(0.0, now) for _ in facts.tenants]
+        self.front_part, self.arrivals = 1 / facts.balancers, 0  # of all reqs; those since the last count
         self.answered: set[str] = set()  # keys the trial build has answered; emptied at each news of phase
 
     def listed(self, event: i.Listed, now: float) -> list[i.Action]:
@@ -223,7 +238,7 @@
                 self.judge.offer(row.build)  # the list may be quicker than the news
             known = self.machines.get(row.machine)
             if known is None or known.row.started != row.started or known.row.build != row.build:
-                known = self.machines[row.machine] = Machine(row, self.random(), known.out if known else {})
+                known = self.machines[row.machine] = Machine(row, out=known.out if known else {})
             known.row = row
         self.machines = {x: m for x, m in self.machines.items() if m.row.status != Status.GONE or m.out}
         self.regroup()
@@ -242,6 +257,7 @@
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
         self.newest = max(starts, default=0.0)
         self.steps = {x: list(accumulate(self.size(m) for m in side)) for x, side in self.sides.items()}
+        self.young = {x: [m for m in side if m.row.started > 0] for x, side in self.sides.items()}
         self.mean_size = sum(map(self.size, live)) / max(1, len(live))
         self.open = sum(len(m.out) for m in self.machines.values() if not self.apart(m))
 
@@ -253,7 +269,7 @@
                 self.stage = min(self.stage + 1, self.judge.last)
                 self.stage_at = min(now, max(self.stage_at, self.newest) + self.judge.stage_age)
         if event.end != End.COMPLETED:
-            self.next_call = now + 500 + 1000 * self.random()
+            self.retry_at = self.next_call = now + 500 + 1000 * self.random()
         if event.end != End.COMPLETED or event.build < self.news.build:
             return []
         if event.build > self.judge.build and event.phase == Phase.ON_TRIAL:
@@ -323,7 +339,9 @@
 
     def cast(self, vote: i.Vote, now: float) -> list[i.Action]:
         life = 0.7 * self.facts.rollout.vote_life_ms
-        if now < self.next_call or (vote == self.vote and self.vote_ok and now - self.vote_at < life):
+        # A word back does not wait for the turn of words on, which the fronts take by their number.
+        turn = self.retry_at if vote.verdict == Verdict.BACK != self.vote.verdict else self.next_call
+        if now < turn or (vote == self.vote and self.vote_ok and now - self.vote_at < life):
             return []
         self.vote, self.vote_at, self.vote_ok = vote, now, False
         self.next_call = now + 1000 * self.facts.balancers / self.facts.rollout.calls_per_s
@@ -333,7 +351,11 @@
         size = sum(self.warmth(m, now) for m in self.machines.values() if m.row.status == Status.IN_SERVICE)
         gain, rate = 0.2 if self.rate else 1.0, self.done_cost / (now - self.rate_at) / max(size, 1.0)
         self.rate += gain * (rate - self.rate)
-        self.done_cost, self.rate_at = 0.0, now
+        if quota := sum(t.quota_per_s for t in self.facts.tenants):
+            # Over half a minute, as bursts end; quotas are taken to leave half as much again over the usual.
+            part = 1.5 * 1000 * self.arrivals / (now - self.rate_at) / quota
+            self.front_part = max(1 / self.facts.balancers, self.front_part + 0.03 * (part - self.front_part))
+        self.done_cost, self.rate_at, self.arrivals = 0.0, now, 0
 
     def warmth(self, m: Machine, now: float) -> float:
         rules = self.facts.rules
@@ -343,10 +365,30 @@
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
         """Guards a cold machine: our share of multiple x (low) capacity x window, in whole tries by luck."""
         rules, warmth = self.facts.rules, self.warmth(m, now)
-        while m.sent and m.sent[0][0] <= now - rules.fall_ms:
-            m.sent.popleft()
+        if warmth >= 1.0:
+            return True
+        self.draw(m, now)
         budget = rules.overload_factor * warmth * self.rate * rules.fall_ms
-        return warmth >= 1.0 or sum(c for _, c in m.sent) + m.luck * cost < budget
+        return sum(c for _, c in m.sent) + m.luck * cost < budget
+
+    def draw(self, m: Machine, now: float) -> None:
+        fall = self.facts.rules.fall_ms
+        while m.sent and m.sent[0][0] <= now - fall:
+            m.sent.popleft()
+        if now >= m.luck_until:
+            # None in the first window, which ends anywhere: fronts are told of a start at once. Drawn once
+            # where the platform counts: more tries on cold trial machines look like a slow build to it.
+            once, first = self.facts.rollout.counts_every_ms > 0, m.luck_until < 0
+            m.luck = self.random() if once or not first else float("inf")
+            m.luck_until = now + (float("inf") if once else fall * (self.random() if first else 1.0))
+
+    def owed(self, m: Machine, cost: float, now: float) -> bool:
+        """Whether a cold machine gets our next try: where our part of its work is less than one, by luck.
+        Guards against machines that come back and stay empty, as who may send there seldom meets them."""
+        self.draw(m, now)
+        part = self.warmth(m, now) * self.rate * self.facts.rules.fall_ms
+        lucky = m.luck_until < 1e18 and not m.sent and m.luck * cost < part < cost
+        return lucky and m.ejected_until <= now
 
     def observe(self, ident: int, ended: i.Ended, now: float) -> None:
         m = self.machines.get(ended.machine)
@@ -372,8 +414,9 @@
             m.pace += max(0.03, 1 / (m.known + 9)) * (min(seen, 4.0) - m.pace)
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
         if (done or ended.end in (End.TIMEOUT, End.FULL)) and not apart:
-            self.share[r] += 0.15 * ((share if done else 1.5) - self.share[r])
+            self.share[r] += self.SHARE_GAIN * ((share if done else 1.5) - self.share[r])
             self.seen[r] += 1
+            self.fresh += 1
         refused = ended.end == End.NOT_CONNECTED
         self.squeeze += 0.05 * (refused - self.squeeze)
         m.linked = m.linked if refused else now
@@ -428,8 +471,10 @@
         if now - m.linked > 2000:  # a front that is refused connections stays with those it has
             pace *= 1 + 20 * self.squeeze
         pace *= (1 + m.failing) * (1.15 if m.row.zone != self.facts.zone else 1.0)  # crossing is priced
-        # One req more counts as on a machine of the mean size: a large one is no quicker while both have
-        # room, and preferred by every front at once it has none.
+        # So is a new connection: one that carries a try is not free, and an idle one goes in good time.
+        new = bool(m.out) or now - m.took > 0.8 * self.facts.idle_ms
+        pace *= 1 + self.facts.handshake_price * new
+        # One req more counts as on a machine of the mean size: a large one all fronts prefer has no room.
         one = self.size(m) / self.mean_size
         return (len(m.out) + max(0.0, m.others) + one) * pace / size
 
@@ -443,6 +488,10 @@
             steps = self.steps[side]
             few = [pool[bisect(steps, self.random() * steps[-1])] for _ in range(self.SAMPLE)]
             few = [m for m in few if m.row.started <= 0 or self.random() < self.warmth(m, now)]
+            self.young[side] = young = [m for m in self.young[side] if self.warmth(m, now) < 1]
+            owed = (m for m in young if self.owed(m, self.usual[rq.route], now))
+            if m := next((m for m in owed if self.may_take(m, rq, now, past)), None):
+                return m
         few = [m for m in few if m.ejected_until <= now and all(m is not p for p, _, _ in past)]
         fit = [m for m in few if self.may_take(m, rq, now, past)]
         fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
@@ -504,6 +553,7 @@
         soon = max(50.0, 0.4 * route.objective_ms)  # so that the repeat may still be in time
         return i.Shed(min(self.facts.max_come_back_ms, soon) if self.facts.come_back else 0.0)
 
+    SHARE_GAIN = 0.15  # of each outcome: the last seven or so count
     TARGET = 0.45  # mean time over objective that is aimed at: exponential latencies then end 9 in 10 in time
 
     def worthy(self, rq: i.Req, now: float) -> float:
@@ -511,11 +561,14 @@
         worth = self.density[rq.route] / max(self.density)
         worth *= self.facts.routes[rq.route].late_benefit if self.slow(rq.route) else 1.0  # it holds places
         if rq.tenant is not None and self.facts.tenants:
-            quota = self.facts.tenants[rq.tenant].quota_per_s / self.facts.balancers
+            # A front with more than its part of the traffic has more than its part of the quota. A tenant at
+            # 0.7 of its quota is five reqs over one time in twenty by chance alone: much to a small front.
+            quota = self.facts.tenants[rq.tenant].quota_per_s * self.front_part
+            most = quota + 5
             used, at = self.tenant_used[rq.tenant]
             used = max(0.0, used - (now - at) * quota / 1000) + 1
-            self.tenant_used[rq.tenant] = (min(used, 2 * quota), now)
-            worth *= self.facts.over_share_benefit if used > quota else 1.0
+            self.tenant_used[rq.tenant] = (min(used, 2 * most), now)
+            worth *= self.facts.over_share_benefit if used > most else 1.0
         return worth
 
     def room(self, rq: i.Req, now: float) -> float:
@@ -539,13 +592,24 @@
         strain = sum(self.seen[r] * self.share[r] for r in fair) / (sum(self.seen[r] for r in fair) + 1)
         self.strain = strain
         if strain > self.TARGET:
-            cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1)  # down to one a machine from all fronts
-            self.limit = max(2 * len(self.machines) / self.facts.balancers, cut * min(self.limit, 1.5 * out))
+            # As far as what was seen since bears it, and not into what chance alone has open: one late answer
+            # to a small front is no jam, and a clump no overload.
+            cut = 1 - 0.15 * min(1.0, strain / self.TARGET - 1) * min(1.0, self.SHARE_GAIN * self.fresh)
+            few = self.by_chance(
+                2 * len(self.machines) / self.facts.balancers
+            )  # two a machine from all fronts
+            self.limit = max(few, cut * min(self.limit, max(1.5 * out, self.by_chance(self.mean_open))))
         elif out > 0.6 * self.limit:
             self.limit *= 1.03
+        self.fresh = 0
+
+    def by_chance(self, mean: float) -> float:
+        """Most tries open where so many are on average and nothing is wrong: two Poisson deviations over."""
+        return mean + 2 * sqrt(mean)
 
     def serve(self, rq: i.Req, now: float) -> Generator[i.Action, tuple[float, i.Ended | None], None]:
         self.taken[rq.route if self.facts.rollout.by_route else 0].append(now)
+        self.arrivals += 1
         # Guards against a queue that outlasts the objectives, whatever fills it; the least worthy go first.
         full = self.open + self.random() >= self.room(rq, now)
         if not full or self.mean_open > len(self.sides[False]):  # one that holds less sees none laden
@@ -576,7 +640,8 @@
         self.usual_met += 0.02 * (met - self.usual_met)
         t = m.out[rq.ident, number] = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
         self.open += not self.apart(m)
-        m.sent.append((now, t.cost))
+        if self.warmth(m, now) < 1:
+            m.sent.append((now, t.cost))
         if self.on_trial(m.row.build):
             self.trial_sent[rq.route if self.facts.rollout.by_route else 0].append(now)
             self.credit = max(0.0, self.credit - 1)
--- a/myrtleroad/facts.py
+++ b/myrtleroad/facts.py
@@ -71,4 +71,6 @@
         max_come_back_ms=ms(limits.get("max_retry_after")),
         weights_mean_size=s.get("weight_kind") in ("nominal", "rough"),
         load_column=columns.index(LOAD) if LOAD in columns else None,
+        handshake_price=s.get("prices", {}).get("handshake", 0.0),
+        idle_ms=ms(limits.get("idle_close")),
     )
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -152,6 +152,8 @@
     max_come_back_ms: float
     weights_mean_size: bool
     load_column: int | None
+    handshake_price: float = 0.0  # a new connection, in benefit of a mean req
+    idle_ms: float = 0.0  # how long a machine keeps a connection that carries nothing
 
 
 # --- events ---
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -208,3 +208,46 @@
         give(judge, 2, 180.0 + n % 7, n)
     assert judge.judge(2, judge.stage_age, True)[0] == Verdict.NONE
     assert judge.judge(2, 2 * judge.stage_age, True, laden=True)[0] == Verdict.BACK
+
+
+def many(trial, earlier=30, slow=900.0):
+    """The judge of one of 200 fronts, 16 of which send a build back, with so many samples."""
+    judge = choice.Judge(build_facts(balancers=200, roll={"back_votes": 16, "caps": (0.1, 0.4, 1.0)}))
+    judge.offer(2)
+    for n in range(earlier):
+        give(judge, 1, 100.0 + 3 * (n % 20), n)
+    for n in range(trial):
+        give(judge, 2, slow + 20 * n, n)
+    return judge
+
+
+def test_fronts_that_decide_together_test_on_fewer_samples_each():
+    assert many(6).judge(1, 8000.0, False)[0] == Verdict.BACK
+    assert many(6, slow=100.0).judge(1, 8000.0, False)[0] == Verdict.ON
+
+
+def test_a_small_front_waits_for_samples_and_votes_on_at_last():
+    judge = many(2, slow=100.0)
+    assert judge.judge(1, 5000.0, False)[0] == Verdict.NONE
+    assert judge.judge(1, 7100.0, False)[0] == Verdict.ON
+
+
+def test_a_front_that_voted_without_samples_tests_once_it_has_them():
+    judge = many(2)
+    assert judge.judge(1, 7100.0, False)[0] == Verdict.ON
+    for n in range(4):
+        give(judge, 2, 900.0 + n, 30)
+    assert judge.judge(1, 9000.0, False)[0] == Verdict.BACK
+
+
+def test_good_builds_are_sent_back_by_far_fewer_fronts_than_it_takes():
+    # Noise of real tries: exponential; of 200 fronts 16 would have to err together.
+    draw, back = random.Random(5).expovariate, 0
+    for _ in range(200):
+        judge = many(0, 0)
+        for n in range(40):
+            give(judge, 1, 300 * draw(1.0), n)
+            if n % 5 == 0:
+                give(judge, 2, 330 * draw(1.0), n)
+        back += judge.judge(1, 8000.0, False)[0] == Verdict.BACK
+    assert back < 8
