Where builds replace each other in place, small fronts wait for samples at every stage

With the wait only before the step to most of the fleet, bad builds reach 25% at 9 s instead of 14.5 s and take good machines away in place. The settings say which it is (replace_mode), so the wait goes by that.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Generator, Iterable
 from dataclasses import dataclass, field
-from itertools import accumulate, pairwise
+from itertools import accumulate
 from math import sqrt
 from random import Random
 
@@ -82,9 +82,8 @@
         self.need = need = max(1, min(facts.rollout.back_votes, facts.balancers))
         self.alpha = float(bdtri(need - 1, facts.balancers, 0.95))  # so many of all err with chance 0.05
         self.floor, self.short = max(self.HINT, -(-self.FLOOR // need)), True
-        # The stage whose next one opens most of the fleet: what is voted on blindly there, all get.
-        steps = enumerate(pairwise(facts.rollout.caps))
-        self.leap = next((n for n, (now, then) in steps if now < 0.5 < then and need > 1), -1)
+        # Where the earlier machines go as a stage begins, a bad one costs more than the wait for samples.
+        self.patient = need > 1 and facts.rollout.in_place
         self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
         self.earlier, self.trial = (deque(maxlen=self.KEEP) for _ in range(2))
         self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
@@ -151,7 +150,7 @@
         short = self.need > 1 and min(len(self.trial), len(self.earlier)) < self.floor
         if self.tested == key and not again and (short or not self.short):
             return self.verdict, ""
-        if short and self.leap == stage and not released and age < self.YOUNG + self.PATIENCE:
+        if short and self.patient and not released and age < self.YOUNG + self.PATIENCE:
             return Verdict.NONE, ""  # samples only begin as the stage's machines are no longer young
         self.tested, self.short = key, short
         # Exception: against the time before the trial, completed tries only, over the tries met: for a build
--- a/myrtleroad/facts.py
+++ b/myrtleroad/facts.py
@@ -63,6 +63,7 @@
             guarded_stages=roll.get("guarded_stages", 0),
             no_return=bool(roll.get("no_return")),
             counts_every_ms=ms(roll.get("sums_every")),
+            in_place=roll.get("replace_mode") == "replace",
         ),
         list_on_request=s.get("registry_mode") == "on_request",
         max_tries=limits["max_attempts"],
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -133,6 +133,7 @@
     guarded_stages: int
     no_return: bool
     counts_every_ms: float
+    in_place: bool = False  # the earlier build's machines go as the trial's start
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -212,7 +212,7 @@
 
 def many(trial, earlier=30, slow=900.0):
     """The judge of one of 200 fronts, 16 of which send a build back, with so many samples."""
-    judge = choice.Judge(build_facts(balancers=200, roll={"back_votes": 16, "caps": (0.1, 0.4, 1.0)}))
+    judge = choice.Judge(build_facts(balancers=200, roll={"back_votes": 16, "in_place": True}))
     judge.offer(2)
     for n in range(earlier):
         give(judge, 1, 100.0 + 3 * (n % 20), n)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -382,3 +382,26 @@
 
     r, _ = build_roster(Peer(talk).at)
     assert r.fetch(0).said is None
+
+
+def test_a_thousand_machines_on_one_line_of_the_watch_and_at_the_start():
+    entries = [listed(f"s-{n:08x}", ("10.0.0.1", n)) for n in range(1024)]
+    assert len(build_told(*entries).known.entries) == 1024
+    r, said = build_roster()
+    line = orjson.dumps({"generation": 9, "reset": True, "instances": entries}) + b"\n"
+    told_by(r, following(r), line, cut=len(line) // 2)
+    (got,) = lists_of(said)
+    assert len(got.entries) == 1024
+
+
+def test_a_whole_list_cut_short_leaves_the_last_good_one():
+    def talk(sock):
+        read_req(sock)
+        sock.sendall(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"generation":9,"reset":true,"instances":['
+        )
+
+    r, said = build_roster(Peer(talk).at)
+    fetched = r.fetch(0)
+    r.other(fetched)
+    assert fetched.said is None and fetched.why == "ended" and not lists_of(said)
