The test of a small front's late answers now fails without the cuts by evidence

Three late answers with two tries out do: the old cuts fall to the floor within 2 s and refuse. The other guard that passes there, good builds sent back by few, guards the new verdicts alone. Seen meanwhile and left: without fresh outcomes the open limit still falls to its base in a jam.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -431,12 +431,14 @@
     return made
 
 
-def test_a_small_front_takes_one_late_answer_for_no_jam():
+def test_a_small_front_takes_a_few_late_answers_for_no_lasting_jam():
     b = fleet(200, 100)[0]
-    end(b, 0, i.End.TIMEOUT, 1, took=900.0)
+    for n in range(3):
+        end(b, n, i.End.TIMEOUT, n, took=900.0)
+    b.limit, b.open, b.mean_open = 6.0, 2, 2.0  # two tries out all along
     for _ in range(20):
         b.adapt()
-    assert all(isinstance(next(b.serve(req(n), 0.0)), i.Send) for n in range(3))  # a clump by chance
+    assert isinstance(next(b.serve(req(9), 0.0)), i.Send)
 
 
 def test_a_small_front_in_a_jam_is_bounded():
