Log each call on discovery, each applied list and, at debug, each attempt by request id

Lines 'list asked', 'list lost' and 'list read' carry the stream's number and how long it waited or stood; 'list applied' counts servers by status; at level debug 'attempt' and 'answer' name the request, the server and the age of the list.

--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -36,6 +36,11 @@
 WAKE = None  # the timer of the module's own wake-up; others belong to a req
 
 
+def txn(message: Message) -> str:
+    """The id that a client gave its request."""
+    return (message.header(b"x-txn") or b"").decode("latin-1")
+
+
 def reported(header: bytes | None) -> float | None:
     """``TEXT name=value, name=value``; what cannot be read is no report."""
     form, _, text = (header or b"").decode("latin-1").partition(" ")
@@ -87,6 +92,7 @@
         self.timers: list[tuple[float, int, Life | None, int]] = []  # emptied as each timer rings
         self.timer_no = 0
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
+        self.names: list[str] = []  # the word of each number in ``index``
         self.machines: dict[int, Machine] = {}  # emptied as machines leave the list
         self.places: dict[int, tuple[Address, float]] = {}  # address and start of each, emptied with them
         self.stage: tuple[int, int, str, float] | None = None  # the last one told, for the log
@@ -338,13 +344,24 @@
         if self.cap(build) < cap:
             self.counters.add("sends_stopped_by_cap")
             return False
-        self.counters.high("list_age_ms", self.list_age(self.clock()))
+        age = self.list_age(self.clock())
+        self.counters.high("list_age_ms", age)
+        self.note_attempt(job, age)
         return True
 
+    def note_attempt(self, job: Job, list_age: float) -> None:
+        """Names the request, its server and the age of the list that it goes by."""
+        if self.log.writes("debug"):
+            what = dict(txn=txn(job.message), attempt=job.try_no, server=self.names[job.machine])
+            self.log("attempt", level="debug", list_age_ms=round(list_age, 1), **what)
+
     def answer(self, held: Open, final: reply.Reply) -> None:
         if self.open.pop(held.life.ident, None):
             self.let_go(held.taken.message)
             self.counters.add(f"reqs_{final.kind}")
+            if self.log.writes("debug"):
+                what = dict(txn=txn(held.taken.message), kind=final.kind, attempts=len(held.sent))
+                self.log("answer", level="debug", **what)
             held.taken.answer(final)
             self.note_overdue(held, final.kind, self.clock())
 
@@ -354,9 +371,10 @@
         if over <= SLACK_MS:
             return
         self.counters.add("answers_overdue")
-        word, held_ms = (held.taken.message.header(b"x-txn") or b"").decode("latin-1"), now - held.taken.at
+        held_ms = now - held.taken.at
         times = dict(over_ms=round(over, 1), held_ms=round(held_ms, 1), lag_ms=round(self.lag, 1))
-        self.overdue("answer overdue", now, txn=word, kind=kind, tries=len(held.sent), **times)
+        what = dict(txn=txn(held.taken.message), kind=kind, tries=len(held.sent))
+        self.overdue("answer overdue", now, **what, **times)
 
     def act(self, actions: Iterable[i.Action], now: float) -> None:
         for act in actions:
@@ -376,6 +394,8 @@
         """The list reaches the module and the machines' actors before any send that follows it."""
         for e in listing.entries:
             number = self.index.setdefault(e.word, len(self.index))
+            if number == len(self.names):
+                self.names.append(e.word)
             e.row.machine = number
             place = (e.address, e.row.started)
             if number not in self.machines:
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -13,7 +13,7 @@
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.desk import Bulletin, Desk
 from myrtleroad.net.door import Door
-from myrtleroad.net.log import Log, descriptors
+from myrtleroad.net.log import Log, descriptors, level_of
 from myrtleroad.net.roster import Roster
 from myrtleroad.net.stream import Post
 from myrtleroad.net.told import Moved, Told, Unclear, fixed, read
@@ -24,7 +24,11 @@
 class Front:
     def __init__(self, told: Told, log_to: int = 1, own: str | None = None):
         self.told, self.clock, self.counters = told, Clock(), Counters()
-        self.log = Log(self.clock, log_to)
+        try:
+            level = level_of(os.environ)
+        except ValueError as error:
+            raise Unclear(str(error)) from None
+        self.log = Log(self.clock, log_to, level)
         self.brain = Brain(told, self.clock, self.counters, self.log)
         deliver = self.brain.mailbox.put
         tell = self.brain.tell
--- a/myrtleroad/net/log.py
+++ b/myrtleroad/net/log.py
@@ -2,7 +2,7 @@
 
 import os
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import gevent
 import orjson
@@ -10,16 +10,25 @@
 from gevent.os import make_nonblocking, nb_write
 
 LEVELS = {"debug": 0, "info": 1, "warning": 2}
+LEVEL_VARIABLE = "MYRTLEROAD_LOG_LEVEL"  # of the environment; a version of what operators set goes before it
+
+
+def level_of(environment: Mapping[str, str]) -> str:
+    """The level that the environment asks for, ``info`` where it asks for none. Raises ValueError."""
+    level = environment.get(LEVEL_VARIABLE, "info")
+    if level not in LEVELS:
+        raise ValueError(f"{LEVEL_VARIABLE}: {level!r} is none of {', '.join(LEVELS)}")
+    return level
 
 
 class Log:
     KEPT = 1000  # lines that wait for a slow reader; later ones are dropped and counted
 
-    def __init__(self, clock: Callable[[], float], fd: int = 1):
+    def __init__(self, clock: Callable[[], float], fd: int = 1, level: str = "info"):
         self.clock, self.fd = clock, fd
         self.lines: deque[bytes] = deque()  # emptied by the writer
         self.dropped = 0
-        self.level = "info"  # lines under it are not written; a version may set it
+        self.level = level  # lines under it are not written; a version may set it
         self.some = Event()
         make_nonblocking(fd)
 
@@ -36,6 +45,10 @@
         self.lines.append(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE, default=str))
         self.some.set()
 
+    def writes(self, level: str) -> bool:
+        """Whether a line of this level would be written, for callers whose fields cost something."""
+        return LEVELS[level] >= LEVELS[self.level]
+
     def run(self) -> None:
         while True:
             self.some.wait()
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -1,5 +1,6 @@
 """The discovery actor: follows the list of machines and passes on what holds of it."""
 
+from collections import Counter
 from random import Random
 
 import gevent
@@ -99,6 +100,8 @@
         if change.whole or rows:
             kind = i.ListKind.WHOLE if change.whole else i.ListKind.CHANGES
             self.deliver(Listing(self.book.version, kind, rows))
+            by_status = Counter(e.row.status.name.lower() for e in rows)
+            self.log("list applied", version=self.book.version, whole=change.whole, **by_status)
         if change.ask and not self.fetching:
             self.fetching = True
             pause = self.pacing.pause(None)
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -51,6 +51,7 @@
 
     __slots__ = (
         "answers",
+        "asked_at",
         "at",
         "greenlet",
         "lookout",
@@ -68,6 +69,7 @@
         self.answers = head.Answers(stream=True)
         self.rest = b""  # of a line that has not ended
         self.told = False  # whether it has told anything yet
+        self.asked_at = follower.clock()
         self.greenlet = gevent.spawn(self.run)
 
     def run(self) -> None:
@@ -201,10 +203,16 @@
             stream.close()
             self.over(stream, f"unreadable: {type(error).__name__}: {error}")
 
-    def over(self, stream: Stream, why: str) -> None:
+    def lost(self, stream: Stream, why: str) -> None:
+        """Counts and logs the end of a stream that this side did not want to end."""
         self.answered = True
         self.counters.add(self.ENDED)
-        self.log(f"{self.NAME} lost", level="warning", at=head.host(stream.at), why=why)
+        after = round(self.clock() - stream.asked_at, 1)
+        what = dict(at=head.host(stream.at), stream=stream.number, told=stream.told, after_ms=after)
+        self.log(f"{self.NAME} lost", level="warning", why=why, **what)
+
+    def over(self, stream: Stream, why: str) -> None:
+        self.lost(stream, why)
         self.carry(self.following.ended(stream.number, self.clock(), why))
         self.parted(stream)
 
@@ -212,7 +220,9 @@
         """The stream has told something that could be read, and its word holds."""
         if not stream.told:
             stream.told = self.answered = True
-            self.log(f"{self.NAME} read", at=head.host(stream.at), **what)
+            after = round(self.clock() - stream.asked_at, 1)
+            at = head.host(stream.at)
+            self.log(f"{self.NAME} read", at=at, stream=stream.number, after_ms=after, **what)
         self.carry(self.following.told(stream.number, self.clock()))
 
     def carry(self, acts: list[Act]) -> None:
@@ -220,14 +230,13 @@
             match act:
                 case Open(number):
                     self.counters.add(f"{self.NAME}_asked")
-                    self.streams[number] = self.open(number)
+                    stream = self.streams[number] = self.open(number)
+                    self.log(f"{self.NAME} asked", stream=number, target=stream.target)
                 case Close(number, why):
                     if stream := self.streams.pop(number, None):
                         stream.close()
                         if why == "silent":
-                            self.counters.add(self.ENDED)
-                            self.log(f"{self.NAME} lost", level="warning", at=head.host(stream.at), why=why)
-                            self.answered = True
+                            self.lost(stream, why)
                         self.parted(stream)
                 case Seen():
                     self.seen(act)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -145,9 +145,18 @@
     return told.decode(orjson.dumps(build_config(machines, **changes)))
 
 
-def silent(event, **fields):
+class Silent:
     """A log that nobody reads."""
 
+    def __call__(self, event, **fields):
+        pass
+
+    def writes(self, level):
+        return False
+
+
+silent = Silent()
+
 
 class Peer:
     """A listener on an ephemeral port that runs ``talk(sock)`` for each connection, in order."""
