--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -9,7 +9,7 @@
 from myrtleroad.drill import codec
 from myrtleroad.facts import facts
 from myrtleroad.life import Life
-from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.membership.asking import Asking, Manner, Service
 
 WAKE, ASK = 0, 1  # the cookies of the module's wake-up and of asking for the list; those above are of reqs
 SIGN_MS = 2000.0  # no signs of life come on this wire; the real one's interval
@@ -23,7 +23,8 @@
         known = facts(settings)
         self.balancer = choice.Balancer(known, seed, now)
         rules = known.rules
-        manner = Manner(known.balancers, rules.drain_grace_ms, SIGN_MS, rules.ask_every_ms or float("inf"))
+        most_ms, service = rules.ask_every_ms or float("inf"), Service.SHARED  # a list that is asked for
+        manner = Manner(known.balancers, rules.drain_grace_ms, SIGN_MS, most_ms, service)
         self.asks, self.asking = known.list_on_request, Asking(manner, Random(seed).random)
         self.told: float | None = None  # when the list was first told since the last failure
         self.index: dict[str, int] = {}  # machine words; grows with the fleet, never with reqs
--- a/myrtleroad/membership/asking.py
+++ b/myrtleroad/membership/asking.py
@@ -1,8 +1,18 @@
-"""How soon to ask a shared service again: at once after a stream that stood, more and more rarely while it
-fails, and never so often that all fronts together press on it."""
+"""How soon to ask a service again: at once after a stream that stood, more and more rarely while it fails.
+
+A service that is shared and full answers no call in time as long as calls come faster than it works them off,
+those that nobody waits for any more included: callers that ask again soon keep it so for good."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
+
+
+class Service(Enum):
+    """Whose the service is that a stream comes from."""
+
+    OWN = "own"  # an agent of this front's own, or one that takes calls from all at once
+    SHARED = "shared"  # one queue of fixed capacity for the calls of all fronts
 
 
 @dataclass(slots=True, frozen=True)
@@ -17,6 +27,7 @@
     grace_ms: float
     sign_ms: float
     most_ms: float = float("inf")
+    service: Service = Service.OWN
 
 
 class Asking:
@@ -30,23 +41,37 @@
     FULL_MS = 500.0  # the longest span of a small deployment: two graces of the shortest kind known
     PRESS_PER_S = 200.0  # asks a second from all fronts together while a service fails: 40 left 200 fronts
     # blind for 3 s after it was back, this for 1 s, as long as one fixed pause of 1 s (benchmarks/membership)
+    SHARED_FIRST_MS = 2000.0  # as long as a call may wait in the queue of a shared service
+    SHARED_MOST_MS = 16000.0  # twice the time in which a shared service can take a call from every front
     STEADY_MS = 1000.0  # a stream that told something and stood for less has failed all the same
 
-    __slots__ = ("base", "chance", "failures", "longest", "spread")
+    __slots__ = ("base", "chance", "failures", "longest", "manner", "spread")
 
     def __init__(self, manner: Manner, chance: Callable[[], float]):
-        self.chance, self.failures = chance, 0  # failures: since a stream last stood
+        self.manner, self.chance = manner, chance
+        self.failures = 0  # since a stream last stood
         self.spread = min(self.PART * manner.grace_ms, self.SPREAD_MS * manner.fronts)
         even = 2 * 1000.0 * manner.fronts / self.PRESS_PER_S  # a span's mean pause is half of it
         self.longest = min(max(self.FULL_MS, even), manner.most_ms)
         self.base = max(self.BASE_MS, self.longest / 4)  # many fronts fail at once: not all again at once
 
-    def pause(self, stood_ms: float | None) -> float:
+    def pause(self, stood_ms: float | None, reached: bool = True) -> float:
         """How long to wait, in ms, now that a stream has ended; ``stood_ms`` is how long it stood after it
-        had told something, None where it told nothing."""
+        had told something, None where it told nothing; ``reached``: a connection for it came up."""
         if stood_ms is not None and stood_ms >= self.STEADY_MS:
             self.failures = 0
             return self.chance() * self.spread
         self.failures += 1
-        # Guards against a service that takes every call and drops it at once: the same as one that fails.
-        return self.chance() * min(self.longest, self.base * 2.0 ** min(self.failures - 1, 16))
+        if stood_ms is None and reached and self.manner.service is Service.SHARED:
+            return self.shared_pause()
+        # A service that takes every call and drops it at once counts as one that fails.
+        return self.chance() * self.span(self.base, self.longest)
+
+    def shared_pause(self) -> float:
+        """After a call that a shared service took and did not answer. Never under half of the span, so that
+        the load on it falls for certain."""
+        most = min(self.SHARED_MOST_MS, self.manner.most_ms)
+        return self.span(self.SHARED_FIRST_MS, most) * (0.5 + 0.5 * self.chance())
+
+    def span(self, first: float, most: float) -> float:
+        return min(most, first * 2.0 ** min(self.failures - 1, 16))
--- a/myrtleroad/membership/following.py
+++ b/myrtleroad/membership/following.py
@@ -52,7 +52,17 @@
     OPENING_MS = 2500.0  # for a connection and a first word: a service answers in ms, one in a queue in 2 s
     LEAVE_MS = 5000.0  # a source that was left is read for so long at most once the new one speaks
 
-    __slots__ = ("again", "asking", "manner", "next", "sight", "since", "source", "streams", "wanted")
+    __slots__ = (
+        "again",
+        "asking",
+        "manner",
+        "next",
+        "sight",
+        "since",
+        "source",
+        "streams",
+        "wanted",
+    )
 
     def __init__(self, manner: Manner, chance: Callable[[], float], now: float):
         self.manner, self.asking = manner, Asking(manner, chance)
@@ -89,11 +99,12 @@
             del self.streams[act.stream]
         return acts + self.look(now, "told")
 
-    def ended(self, stream: int, now: float, why: str) -> list[Act]:
+    def ended(self, stream: int, now: float, why: str, reached: bool = True) -> list[Act]:
+        """``reached``: a connection for it had come up."""
         s = self.streams.pop(stream, None)
         if s is None:
             return []
-        self.parted(s, now)
+        self.parted(s, now, reached)
         return self.look(now, why)
 
     def moved(self, now: float) -> list[Act]:
@@ -161,12 +172,12 @@
     def close(self, number: int, why: str) -> Close:
         return Close(number, why)
 
-    def parted(self, s: Standing, now: float) -> None:
+    def parted(self, s: Standing, now: float, reached: bool = True) -> None:
         """A stream has gone. Another is due, after the pause that its end asks for, where none of the present
         source is left, or only one that is in doubt."""
         mine = [x for x in self.streams.values() if x.source == self.source]
         if not mine or all(x.told is not None and now >= self.doubt(x) for x in mine):
-            self.again = now + self.asking.pause(None if s.told is None else now - s.told)
+            self.again = now + self.asking.pause(None if s.told is None else now - s.told, reached)
 
     def ends(self, s: Standing) -> float:
         """When a stream that says nothing more is given up, or one that was left."""
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -1,13 +1,14 @@
 """The discovery actor: follows the list of machines and passes on what holds of it."""
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import gevent
 from gevent import socket
 
 from myrtleroad import interface as i
-from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.membership.asking import Asking, Manner, Service
 from myrtleroad.membership.book import Book, Change, Rank, Said
 from myrtleroad.membership.following import Seen
 from myrtleroad.net import head
@@ -27,6 +28,12 @@
     return Manner(told.facts.balancers, rules.drain_grace_ms, sign_ms, most)
 
 
+def list_manner(told: Told) -> Manner:
+    """Discovery is one service for all fronts where it is asked, an agent of each front's own else."""
+    service = Service.SHARED if told.facts.list_on_request else Service.OWN
+    return replace(manner(told, SIGN_MS), service=service)
+
+
 def rank(e: Entry) -> Rank:
     return RANKS[e.row.status]
 
@@ -48,11 +55,11 @@
     NAME, ENDED = "list", "watches_ended"
 
     def __init__(self, told: Told, counters: Counters, log: Log, post: Post):
-        super().__init__(told.discovery, manner(told, SIGN_MS), told, counters, log, post)
+        super().__init__(told.discovery, list_manner(told), told, counters, log, post)
         self.words = (told.zones, told.kinds)
         self.book: Book[Entry] = Book(rank, same)
         self.book.remember(told.known.version, {e.word: e for e in told.known.entries})
-        self.pacing = Asking(manner(told, SIGN_MS), Random(told.seed + 1).random)
+        self.pacing = Asking(list_manner(told), Random(told.seed + 1).random)
         self.sources: dict[int, int] = {}  # of each stream that is held; emptied as each ends
         self.fetching = False
 
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -43,6 +43,7 @@
 class Over:
     stream: "Stream"
     why: str
+    reached: bool = True  # a connection had come up
 
 
 class Stream:
@@ -57,6 +58,7 @@
         "lookout",
         "number",
         "post",
+        "reached",
         "rest",
         "sock",
         "target",
@@ -70,15 +72,18 @@
         self.rest = b""  # of a line that has not ended
         self.told = False  # whether it has told anything yet
         self.asked_at = follower.clock()
+        self.reached = False  # whether its connection has come up
         self.greenlet = gevent.spawn(self.run)
 
     def run(self) -> None:
-        self.post(Over(self, self.read()))
+        why = self.read()
+        self.post(Over(self, why, self.reached))
 
     def read(self) -> str:
         sock = None
         try:
             sock = socket.create_connection(self.at, CONNECT_S)
+            self.reached = True
             sock.settimeout(None)  # its silence is judged by the follower
             head.write(sock, head.call("GET", self.target, head.host(self.at)))
             self.sock = sock
@@ -189,9 +194,9 @@
                 if self.streams.get(stream.number) is stream:
                     self.carry(self.following.heard(stream.number, now))
                     self.read(stream, text)
-            case Over(stream, why):
+            case Over(stream, why, reached):
                 if self.streams.pop(stream.number, None) is stream:
-                    self.over(stream, why)
+                    self.over(stream, why, reached)
             case _:
                 self.other(message)
 
@@ -211,9 +216,9 @@
         what = dict(at=head.host(stream.at), stream=stream.number, told=stream.told, after_ms=after)
         self.log(f"{self.NAME} lost", level="warning", why=why, **what)
 
-    def over(self, stream: Stream, why: str) -> None:
+    def over(self, stream: Stream, why: str, reached: bool = True) -> None:
         self.lost(stream, why)
-        self.carry(self.following.ended(stream.number, self.clock(), why))
+        self.carry(self.following.ended(stream.number, self.clock(), why, reached))
         self.parted(stream)
 
     def told(self, stream: Stream, **what: object) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from myrtleroad.interface import Sight
-from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.membership.asking import Asking, Manner, Service
 from myrtleroad.membership.book import Book, Rank, Said
 from myrtleroad.membership.following import Close, Following, Open, Seen
 
@@ -309,3 +309,28 @@
     view = apply(view, b.left(0))
     view = apply(view, b.take(fleet.said(1, told[1], len(fleet.history), told[1] == 0), True))
     assert view == fleet.at(len(fleet.history))
+
+
+# --- a shared service that is full ---
+
+SHARED = Manner(200, 250.0, 2000.0, 10000.0, Service.SHARED)
+
+
+def test_a_storm_of_calls_on_a_full_service_falls_under_one_call_a_front_in_eight_seconds():
+    random, asks, fronts = Random(5).random, 0, 200
+    for _ in range(fronts):
+        a, at = Asking(SHARED, random), 0.0
+        while (at := at + a.pause(None) + 2000.0) < 100000.0:  # a call waits for two seconds and fails
+            asks += at > 20000.0
+    assert asks / 80 <= fronts / 8
+
+
+def test_after_the_first_call_that_a_full_service_fails_half_a_wait_at_least_goes_by():
+    assert Asking(SHARED, lambda: 0.0).pause(None) == 1000.0
+
+
+def test_a_watch_broken_off_soon_or_a_connection_refused_is_no_sign_of_a_full_service():
+    a = Asking(SHARED, lambda: 0.999)
+    assert a.pause(10.0) < 550.0
+    a = Asking(SHARED, lambda: 0.999)
+    assert a.pause(None, reached=False) < 550.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -217,7 +217,7 @@
     for port in (10, 11):
         new = moved(r, port)
     assert new.at == ("127.0.0.1", 11) and r.streams[0] is old
-    r.take(stream.Over(new, "refused"))
+    r.take(stream.Over(new, "refused", reached=False))
     assert r.following.sight == i.Sight.FRESH and r.following.due() < r.clock() + 500
 
 
