The list of servers is a lease: sends past it only to servers that show they serve

Cause: a front had no notion of how long its list may be acted on. Balancer.best only ordered servers while blind and sent to any as a last resort, and a list from the configuration, of unknown age, counted as good as one just read. A change counts as told 6 s after discovery had it, so those sends came after the window. Change: membership/lease.py; past the lease a server may be sent to only if it served a request sent within the lease's length, over a connection from before the watch was lost (one that drains turns requests away, one started anew has lost its connections); the rest is refused with a time to come back. A list from before the start is not acted on; a front is ready with a list, or after 5 s without.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -17,6 +17,7 @@
 
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
+from myrtleroad.membership.lease import ListLease
 
 Sample = tuple[float, float, float, float, bool]  # a try's score, covariate, end, tries met; completed?
 Past = list[tuple["Machine", "Try", bool]]  # a req's ended tries, and whether each may have run
@@ -45,6 +46,7 @@
     ejected_until: float = 0.0
     linked: float = -1e9  # when a connection to it was last known to work
     took: float = -1e9  # when a try was sent that it completed: it drained not then
+    served_at: float = -1e9  # the same, over a connection that the list vouches for
     faded: float = 0.0  # when what is not seen was last faded
     sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see draw
 
@@ -214,7 +216,8 @@
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.retry_at = 0.0  # after a call that did not count
         self.most_share = 1.0  # of a trial, that operators allow
-        self.blind_at = float("inf")  # when the last word came, where the list is followed no more
+        self.lease: ListLease | None = None  # of the list; a host that follows none sets none
+        self.lease_held = True  # as last noted in the log
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
         self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
         self.level, self.mean_size = 0.0, 1.0  # reported load beyond our own a size, warm; size of a machine
@@ -247,9 +250,6 @@
         """Holds for reqs taken from now on; a lower share binds tries not yet sent too."""
         self.facts, self.most_share = event.facts, event.trial_share
 
-    def sighted(self, event: i.Sighted, now: float) -> None:
-        self.blind_at = event.since if event.sight == i.Sight.BLIND else float("inf")
-
     def regroup(self) -> None:
         live = [m for m in self.machines.values() if m.row.status == Status.IN_SERVICE]
         self.sides = {x: [m for m in live if self.on_trial(m.row.build) == x] for x in (False, True)}
@@ -319,6 +319,7 @@
             self.refusing = not self.refusing
             word, rest = "began" if self.refusing else "ended", self.resting(self.machines.values(), now)
             actions.append(i.Note(f"refusing {word}: open limit {self.limit:.1f}, {rest} machines rest"))
+        actions += self.note_lease(now)
         news = self.news
         if news.phase not in (Phase.ON_TRIAL, Phase.RELEASED) or news.build != self.judge.build:
             return actions
@@ -333,6 +334,16 @@
             actions += self.cast(i.Vote(news.build, verdict, self.stage), now)
         return actions
 
+    def note_lease(self, now: float) -> list[i.Action]:
+        holds = self.lease is None or self.lease.holds(now)
+        if holds == self.lease_held:
+            return []
+        self.lease_held = holds
+        if holds:
+            return [i.Note("list lease holds again")]
+        shown = sum(self.listed_open(m, now) for m in self.machines.values())
+        return [i.Note(f"list lease expired: {shown} of {len(self.machines)} servers have shown they serve")]
+
     def stage_age(self, now: float) -> float:
         return now - (self.newest if self.newest > self.stage_at else self.stage_at + 8000.0)  # worst (bench)
 
@@ -409,6 +420,8 @@
                 self.answered.add(gone.key)
             seen = ended.took_ms / self.usual[r] / gone.met * self.usual_met
             m.took = max(m.took, gone.sent)
+            if self.lease is not None and self.lease.covers(ended.connected_at):
+                m.served_at = max(m.served_at, gone.sent)
             m.known += 1  # one heavy req says little of a machine that completes many
             m.pace += max(0.03, 1 / (m.known + 9)) * (min(seen, 4.0) - m.pace)
             self.usual[r] += 0.02 * (ended.took_ms - self.usual[r])
@@ -419,8 +432,9 @@
         refused = ended.end == End.NOT_CONNECTED
         self.squeeze += 0.05 * (refused - self.squeeze)
         m.linked = m.linked if refused else now
-        if ended.end == End.FULL and self.blind(now):
+        if ended.end == End.FULL and self.lease is not None and not self.lease.is_followed:
             m.ejected_until = now + 2000  # it may drain, and nobody tells us
+            m.served_at = -1e9
         failed = ended.end in (End.ERRORED, End.FULL, End.RESET, End.TIMEOUT)
         if failed or done:
             m.failing += 0.2 * (failed - m.failing)
@@ -494,16 +508,13 @@
         few = [m for m in few if m.ejected_until <= now and all(m is not p for p, _, _ in past)]
         fit = [m for m in few if self.may_take(m, rq, now, past)]
         fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
-        if self.blind(now):
-            # Exception: a drain may stand untold. Machines that took work within the window come first, then
-            # those whose connections stand; any other only where there is none of these.
-            lately = now - self.facts.rules.drain_grace_ms
-            fit = [m for m in fit if m.took > lately] or [m for m in fit if m.linked > now - 2000] or fit
         return min(fit, key=lambda m: self.expected(m, now) * (1 + 0.05 * self.random()), default=None)
 
-    def blind(self, now: float) -> bool:
-        """Whether the list has been followed no more for longer than a drain may go unheeded."""
-        return now > self.blind_at + self.facts.rules.drain_grace_ms
+    def listed_open(self, m: Machine, now: float) -> bool:
+        """Whether a machine may be sent something new, by the list and by how old it is."""
+        if m.row.status != Status.IN_SERVICE:
+            return False
+        return self.lease is None or self.lease.allows(now, m.served_at)
 
     def pick(self, rq: i.Req, now: float, past: Past) -> Machine | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
@@ -529,7 +540,7 @@
         self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], part * size[1] / sum(size))
 
     def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
-        if m.row.status != Status.IN_SERVICE or not self.cold_room(m, self.usual[rq.route], now):
+        if not self.listed_open(m, now) or not self.cold_room(m, self.usual[rq.route], now):
             return False
         if self.on_trial(m.row.build):
             if not self.exposure_room(rq, m.row.build, now):
--- a/myrtleroad/interface.py
+++ b/myrtleroad/interface.py
@@ -214,6 +214,7 @@
     took_ms: float
     load: float | None
     finished: bool
+    connected_at: float = float("inf")  # when the connection that carried it was made, if it is known
 
 
 @dataclass(slots=True)
--- a/myrtleroad/membership/following.py
+++ b/myrtleroad/membership/following.py
@@ -9,6 +9,7 @@
 
 from myrtleroad.interface import Sight
 from myrtleroad.membership.asking import Asking, Manner
+from myrtleroad.membership.lease import ListLease
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +56,7 @@
     __slots__ = (
         "again",
         "asking",
+        "lease",
         "manner",
         "next",
         "sight",
@@ -71,6 +73,7 @@
         self.next, self.source, self.wanted = 0, 0, False
         self.again: float | None = None  # when to ask again, where no stream is held
         self.sight, self.since = Sight.BLIND, now
+        self.lease: ListLease | None = None  # of what is followed, where that expires
 
     # --- events ---
 
@@ -167,6 +170,8 @@
     def open(self, now: float) -> Open:
         number, self.next, self.again = self.next, self.next + 1, None
         self.streams[number] = Standing(self.source, now, now)
+        if self.lease is not None:
+            self.lease.waits(True)
         return Open(number)
 
     def close(self, number: int, why: str) -> Close:
@@ -191,6 +196,16 @@
         """From when a stream that says nothing is in doubt."""
         return s.heard + self.DOUBT * self.manner.sign_ms
 
+    def renew(self, now: float, followed: bool) -> None:
+        """The lease learns what stands."""
+        if self.lease is None:
+            return
+        if followed:
+            self.lease.followed(self.since)
+        else:
+            self.lease.lost(now, self.sight is not Sight.FRESH)
+        self.lease.waits(any(s.told is None for s in self.streams.values()))
+
     def look(self, now: float, why: str) -> list[Act]:
         """The sight of now; told once at each change."""
         telling = [s for s in self.streams.values() if s.told is not None]
@@ -199,6 +214,7 @@
             sight = Sight.FRESH if any(now < self.doubt(s) for s in telling) else Sight.DOUBTFUL
         else:
             sight = Sight.BLIND
+        self.renew(now, bool(telling))
         if (last := self.last()) is not None and last.source == self.source and now < self.doubt(last):
             self.again = None  # the one that was in doubt speaks again
         if sight == self.sight:
--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -211,7 +211,6 @@
                 self.guard("narrowed", self.balancer.narrowed, message, now)
             case i.Sighted():
                 self.counters.add(f"list_{message.sight.name.lower()}")
-                self.guard("sight", self.balancer.sighted, message, now)
             case i.StageNews():
                 self.counters.add("stage_news")
                 self.guard("news", self.told_stage, message, now)
@@ -270,7 +269,8 @@
         held = self.open.get(job.ident)
         done = message.end == i.End.COMPLETED
         load = self.load(message)
-        ended = i.Ended(job.machine, job.try_no, message.end, message.took_ms, load, held is None or done)
+        over, connected_at = held is None or done, message.connected_at
+        ended = i.Ended(job.machine, job.try_no, message.end, message.took_ms, load, over, connected_at)
         self.guard("try ended", self.balancer.observe, job.ident, ended, now)
         if held and done:
             held.life.end()
@@ -337,7 +337,7 @@
         self.hear()
         known = self.balancer.machines.get(job.machine)
         build, started, cap = job.ticket
-        listed = known is not None and known.row.status == i.Status.IN_SERVICE
+        listed = known is not None and self.balancer.listed_open(known, self.clock())
         if not listed or (known.row.build, known.row.started) != (build, started):
             self.counters.add("sends_stopped_by_list")
             return False
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -36,6 +36,8 @@
         self.roster = Roster(told, self.counters, self.log, post)
         self.bulletin = Bulletin(told, self.counters, self.log, post)
         self.brain.list_age = self.roster.following.age
+        self.brain.balancer.lease = self.roster.lease
+        self.started_at = self.clock()
         self.desk = Desk(told, self.counters, self.log, tell)
         self.brain.vote = self.desk.mailbox.put
         self.door = Door(told, self.clock, self.counters, self.log, deliver, self.is_ready)
@@ -52,8 +54,10 @@
                 self.versions = holder.versions(at, self.counters, self.log)
 
     def is_ready(self) -> bool:
-        """Once the list and the platform's news are in the module, or could not be had anew."""
-        if self.stop.is_set() or not (self.roster.answered and self.bulletin.answered):
+        """Once the list is in the module, or could not be had for a while, and so the platform's news."""
+        if self.stop.is_set() or not self.bulletin.answered:
+            return False
+        if not self.was_ready and not self.roster.lease.may_begin(self.clock(), self.started_at):
             return False
         if not self.was_ready:
             self.was_ready = True
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -44,6 +44,7 @@
     end: i.End
     took_ms: float
     result: Answer | Broken
+    connected_at: float = float("inf")  # when its connection was made; inf where there was none
 
 
 @dataclass(slots=True)
@@ -89,10 +90,10 @@
 class Link:
     """One connection to a machine. Whoever holds it, the actor or one try, is its only user."""
 
-    __slots__ = ("answers", "free_at", "share", "sock", "start")
+    __slots__ = ("answers", "connected_at", "free_at", "share", "sock", "start")
 
-    def __init__(self, sock: socket.socket, start: int, share: Share):
-        self.sock, self.start, self.share = sock, start, share
+    def __init__(self, sock: socket.socket, start: int, share: Share, connected_at: float):
+        self.sock, self.start, self.share, self.connected_at = sock, start, share, connected_at
         self.answers, self.free_at = head.Answers(), 0.0
         share.open += 1
 
@@ -205,7 +206,8 @@
                 link.close()
             end = of_try(result)
             self.counters.add(f"tries_{end.name.lower()}")
-            self.deliver(TryEnded(job, end, self.clock() - job.sent, result))
+            connected_at = link.connected_at if link is not None else float("inf")
+            self.deliver(TryEnded(job, end, self.clock() - job.sent, result, connected_at))
             self.mailbox.put(Over(job, kept))
 
     def connect(self, job: Job) -> Link | Broken:
@@ -231,7 +233,7 @@
             sock.close()
             return Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
         self.counters.add("machine_connections")
-        return Link(sock, start, self.share)
+        return Link(sock, start, self.share, self.clock())
 
     def exchange(self, job: Job, link: Link) -> Answer | Broken:
         reach, sock = Reach.CONNECTED, link.sock
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -11,6 +11,7 @@
 from myrtleroad.membership.asking import Asking, Manner, Service
 from myrtleroad.membership.book import Book, Change, Rank, Said
 from myrtleroad.membership.following import Seen
+from myrtleroad.membership.lease import ListLease, Terms
 from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
@@ -55,7 +56,9 @@
     NAME, ENDED = "list", "watches_ended"
 
     def __init__(self, told: Told, counters: Counters, log: Log, post: Post):
+        self.lease = ListLease(Terms.of(told.facts))
         super().__init__(told.discovery, list_manner(told), told, counters, log, post)
+        self.following.lease = self.lease
         self.words = (told.zones, told.kinds)
         self.book: Book[Entry] = Book(rank, same)
         self.book.remember(told.known.version, {e.word: e for e in told.known.entries})
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 from myrtleroad.membership.asking import Asking, Manner, Service
 from myrtleroad.membership.book import Book, Rank, Said
 from myrtleroad.membership.following import Close, Following, Open, Seen
+from myrtleroad.membership.lease import ListLease, Terms
 
 MANNER = Manner(fronts=3, grace_ms=250.0, sign_ms=2000.0, most_ms=10000.0)
 
@@ -334,3 +335,41 @@
     assert a.pause(10.0) < 550.0
     a = Asking(SHARED, lambda: 0.999)
     assert a.pause(None, reached=False) < 550.0
+
+
+# --- the lease ---
+
+ASKED, PUSHED = Terms(6100.0, 6100.0, False), Terms(100.0, 6100.0, True)
+
+
+def test_a_watch_that_has_fallen_silent_is_believed_for_no_longer_than_its_changes_stay_untold():
+    for terms in (ASKED, PUSHED):
+        lease = ListLease(terms)
+        lease.followed(1000.0)
+        assert lease.holds(7099.0) and not lease.holds(7101.0)
+
+
+def test_connections_made_after_a_watch_fell_silent_are_not_covered():
+    for was_silent, covered in ((True, False), (False, True)):
+        lease = ListLease(ASKED)
+        lease.followed(1000.0)
+        lease.lost(4000.0, was_silent)
+        assert lease.covers(900.0) and lease.covers(3000.0) == covered and not lease.covers(4001.0)
+
+
+def test_a_follower_tells_its_lease_what_stands_and_what_waits():
+    f = following()
+    f.lease = ListLease(PUSHED)
+    f.told(0, 10.0)
+    assert f.lease.is_followed and not f.lease.is_waiting and f.lease.confirmed_at == 10.0
+    f.ended(0, 900.0, "reset")
+    assert not f.lease.is_followed and f.lease.covered_until == 900.0
+    f.tick(f.due())
+    assert f.lease.is_waiting and f.lease.holds(5000.0)
+
+
+def test_a_front_begins_with_a_list_or_after_a_while_without():
+    lease = ListLease(ASKED)
+    assert not lease.may_begin(4999.0, 0.0) and lease.may_begin(5000.0, 0.0)
+    lease.followed(10.0)
+    assert lease.may_begin(10.0, 0.0)
