--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,7 @@
 from soak.servers import body_of
 from soak.wire import Ended, Message, Reader
 
+HALF_S = 3.0  # within which a client that stops in the middle gets an error or a close
 LISTEN_ON_S = 1.0  # past its deadline a client goes on listening, to tell a late answer from none
 UNSAFE_SHARE = 0.3
 KILL_S = 0.5  # a connection kept to a process that was killed so long ago may be found reset only now
@@ -72,7 +73,9 @@
 
     def send_again(self, front: Front, txn: str, safe: bool) -> None:
         """A close may have crossed the request on a kept connection: once more on a new one (protocol)."""
-        request = next(r for r in reversed(self.records.requests) if r.txn == txn)
+        request = next((r for r in reversed(self.records.requests) if r.txn == txn), None)
+        if request is None:
+            return  # it was never written whole: nobody has taken it
         if front.killed_within(request.sent - KILL_S, request.ended):
             request.front_killed = True
         if request.new_connection or request.front_killed:
@@ -131,6 +134,18 @@
             return Outcome.SERVED if message.body == body_of(request.txn) else Outcome.WRONG
         return Outcome.REFUSED if status in (429, 503) else Outcome.FAILED
 
+    def stop_in_the_middle(self, front: Front) -> None:
+        begun = monotonic()
+        try:
+            with socket.create_connection(front.at, 1.0) as sock:
+                sock.settimeout(HALF_S + 1.0)
+                sock.sendall(b"POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: half\r\nContent-Le")
+                sock.recv(1024)
+        except TimeoutError:
+            self.records.neglected.append((begun, front.name))
+        except OSError:
+            pass
+
     def stop(self) -> None:
         """No new requests; those that are out have their time."""
         gevent.killall(self.loops)
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -106,6 +106,10 @@
 
     # --- trouble ---
 
+    def crowd(self, seconds: float) -> None:
+        """Others' calls fill the queue for so long."""
+        self.crowd_until = monotonic() + seconds
+
     def go_down(self) -> None:
         self.down_since = monotonic()
         for watch in self.watches:
--- a/soak/fronts.py
+++ b/soak/fronts.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 from time import monotonic
 
@@ -13,11 +14,19 @@
 
 from soak.deployment import Configuration, Deployment
 from soak.records import Life, Records
+from soak.shim import Shim, preload
 from soak.wire import Ended, Reader
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_CALL = b"GET /-/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 READY_PAUSE_S = 0.05
+PYTHON = ".venv/bin/python"  # as the deploy file names it; the soak runs on its own
+
+
+def command() -> list[str]:
+    """How operators start a front: ``run`` of the deploy file, by the shell."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    return ["/bin/sh", "-c", deploy["run"].replace(PYTHON, sys.executable)]
 
 
 class Front:
@@ -33,6 +42,7 @@
         self.killed = False
         self.kills: list[float] = []  # when each SIGKILL of ours was sent
         self.environment: dict[str, str] = {}
+        self.shim: Shim | None = None
         self.watcher: gevent.Greenlet | None = None
 
     @property
@@ -47,11 +57,11 @@
         draft.replace(self.file)
 
     def start(self) -> None:
-        environment = os.environ | {"NODE_CONFIG": str(self.file)} | self.environment
+        environment = preload(os.environ | {"NODE_CONFIG": str(self.file)} | self.environment)
         self.started, self.ready, self.stopped, self.killed = monotonic(), None, None, False
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "myrtleroad", "serve"],
+                command(),
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
@@ -115,7 +125,8 @@
         code, ended = self.process.poll(), None if self.runs else monotonic()
         life = Life(self.name, self.started, self.ready, ended, code, self.killed, self.stopped)
         self.records.lives.append(life)
-        self.process = None
+        if not self.runs:
+            self.process = None
 
     def kill(self) -> None:
         """Ends the process outright; it may be started again at once."""
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -42,9 +42,17 @@
         self.listings = Listings(records, deployment)
 
     def breaks(self) -> list[Break]:
+        neglected = [n for n in self.records.neglected if not self.killed_near(*n)]
         found = [*self.lost(), *self.duplicates(), *self.drains(), *self.falls(), *self.exposures()]
+        found += [Break("lost", at, f"a half request at {front} got no end") for at, front in neglected]
         return sorted([*found, *self.crashes(), *self.deadlines()], key=lambda b: b.at)
 
+    def killed_near(self, at: float, front: str) -> bool:
+        """Whether a process of this front was killed while a bad client waited there."""
+        return any(
+            x.front == front and x.killed and at <= (x.ended or 0.0) <= at + 4.0 for x in self.records.lives
+        )
+
     # --- no request lost ---
 
     def lost(self) -> list[Break]:
--- a/soak/play.py
+++ b/soak/play.py
@@ -1,5 +1,6 @@
 """One run: stand-ins, fronts and clients put together, and what was seen of them."""
 
+import os
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -16,32 +17,54 @@
 from soak.platform import Platform
 from soak.records import Records
 from soak.servers import Mode, Server
-from soak.wire import address, listener
+from soak.shim import Shim, build
 
-HOST = "127.0.0.1"
+FRONT_PORT = 8443
 START_S = 30.0  # within which every front has to be ready
 
 
+def network() -> str:
+    """The first three parts of loopback addresses that no other process of a soak uses at the same time."""
+    return f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}"
+
+
 class Play:
     """A deployment on loopback. Use as a context: leaving it ends every process and closes every socket."""
 
-    def __init__(self, deployment: Deployment, seed: int = 1, rate: float = 5.0, call_s: float = 0.005):
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int = 1,
+        rate: float = 5.0,
+        call_s: float = 0.005,
+        shim: bool = False,
+    ):
         self.deployment, self.random, self.records = deployment, Random(seed), Records()
         self.folder = tempfile.TemporaryDirectory(prefix="soak-")
+        host = f"{network()}.1"
         names = [f"s-{n:03d}" for n in range(deployment.servers)]
         self.servers = {
-            name: Server(name, HOST, FIRST_BUILD, self.records, Random(f"{seed}:{name}")) for name in names
+            name: Server(name, host, FIRST_BUILD, self.records, Random(f"{seed}:{name}")) for name in names
         }
-        self.discovery = Discovery(HOST, self.servers, self.records, call_s)
-        self.platform = Platform(HOST, FIRST_BUILD, self.records)
-        self.fronts = [self.front(f"n{n}") for n in range(deployment.fronts)]
+        self.discovery = Discovery(host, self.servers, self.records, call_s)
+        self.platform = Platform(host, FIRST_BUILD, self.records)
+        self.fronts = [self.front(n) for n in range(deployment.fronts)]
         self.rate, self.clients = rate, None
+        if shim:
+            self.preload(seed)
         self.begun = monotonic()
 
-    def front(self, name: str) -> Front:
-        with listener(HOST) as sock:
-            listen = address(sock)  # free again at once; the front binds it
-        return Front(name, listen, Path(self.folder.name), self.deployment, self.records)
+    def front(self, number: int) -> Front:
+        listen = f"{network()}.{number + 2}:{FRONT_PORT}"
+        return Front(f"n{number}", listen, Path(self.folder.name), self.deployment, self.records)
+
+    def preload(self, seed: int) -> None:
+        """Every front meets system calls and clocks through a shim of its own. Raises NoCompiler."""
+        folder = Path(self.folder.name)
+        library = build(folder)
+        for number, front in enumerate(self.fronts):
+            front.shim = Shim(library, folder, front.name, seed * 1000 + number)
+            front.environment |= front.shim.environment
 
     def __enter__(self) -> "Play":
         for front in self.fronts:
@@ -88,6 +111,27 @@
             self.servers[name].restart(build)
         self.discovery.change("in_service", *names)
 
+    def set_mode(self, mode: Mode, *names: str) -> None:
+        for name in names:
+            server = self.servers[name]
+            if server.mode != Mode.DRAINING:
+                server.mode = mode
+            if mode == Mode.DOWN:
+                server.drop_connections()
+
+    def set_leaving(self, share: float) -> None:
+        self.clients.leave_share = share
+
+    def set_crowd(self, times: float) -> None:
+        self.clients.crowd = times
+
+    def half_request(self, front: Front) -> None:
+        """A client that stops in the middle of a request and stays; it is owed an error or a close."""
+        gevent.spawn(self.clients.stop_in_the_middle, front)
+
+    def later(self, seconds: float, call: Callable[..., object], *args: object) -> None:
+        gevent.spawn_later(seconds, call, *args)
+
     def after(self, seconds: float, call: Callable[..., object], *args: object) -> None:
         """A fault at a moment counted from the clients' first request."""
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -110,4 +110,5 @@
     unreachable: list[Span] = field(default_factory=list)  # spans in which discovery could not be reached
     stages: list[Stage] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
+    neglected: list[tuple[float, str]] = field(default_factory=list)  # bad clients that got no end, and where
     faults: list[tuple[float, str]] = field(default_factory=list)  # what was done and when, for the reader
