Signals that come before their handlers are set wait instead of ending the process

Seen by new users: SIGHUP or SIGUSR1 within the first second of a start ends the process by the signal's default action. Cause: handlers are set after the heavy imports.

--- a/myrtleroad/cli.py
+++ b/myrtleroad/cli.py
@@ -71,7 +71,3 @@
         f"{t.name}: {len(t.routes)} routes, {len(t.tenants)} tenants, {len(t.known.entries)} machines, "
         f"build {t.news.build} stage {t.news.stage} {t.news.phase.name.lower()}"
     )
-
-
-if __name__ == "__main__":
-    main()
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -17,6 +17,7 @@
 from myrtleroad.net.roster import Roster
 from myrtleroad.net.stream import Post
 from myrtleroad.net.told import Moved, Told, Unclear, fixed, read
+from myrtleroad.startup import release_signals
 
 LATE_S = 0.45  # new connections keep arriving for up to 0.4 s after SIGTERM
 
@@ -69,6 +70,7 @@
         gevent.signal_handler(signal.SIGINT, self.on_term)
         gevent.signal_handler(signal.SIGUSR1, self.show)
         gevent.signal_handler(signal.SIGHUP, self.reload)
+        release_signals()
         self.log("start", name=self.told.name, machines=len(self.told.known.entries))
         self.brain.start()
         for actor in (self.log, self.brain, self.roster, self.bulletin, self.desk, self.door):
