A second SIGTERM or SIGINT no longer ends the process with requests open

Seen by new users: SIGTERM, then SIGTERM or SIGINT 0.1 s later with a request open, and its connection closed with no answer. Cause: os._exit in Front.on_term, which README promised. Signals come in series, and a request taken is still owed; whoever wants the end has SIGKILL.

--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -83,8 +83,7 @@
         self.drain()
 
     def on_term(self) -> None:
-        if self.stop.is_set():
-            os._exit(1)  # a second signal ends at once
+        """The first begins the stop; further ones change nothing, as what was taken is still owed."""
         self.stop.set()
 
     def reload(self) -> None:
