Calls on sockets that fail for what is short here blame no server and end at once

Seen by new users: connect failing with ENETUNREACH, EADDRNOTAVAIL, EAGAIN or ENOBUFS on a fleet of one rested the server, and requests waited till their time was over for a 503. Cause: ENETUNREACH and others counted as the server's refusal; gevent waits for a connect that failed with EAGAIN, which has not begun, until its timeout (measured: 1.0 s a request). Change: net/connecting.py connects by itself, so that each error is told at once; what is short here (ports, buffers, memory, descriptors, the network) ends the attempt as never run; receiving with no memory is tried again; where poll fails every stream is looked at.

--- /dev/null
+++ b/myrtleroad/net/connecting.py
@@ -0,0 +1,30 @@
+"""Connecting to an address: each way that it can fail, told at once."""
+
+import errno
+import os
+import socket as system
+
+from gevent import socket
+
+from myrtleroad.net.told import Address
+
+UNDER_WAY = frozenset((errno.EINPROGRESS, errno.EINTR))  # the connection goes on coming up
+
+
+def connect(at: Address, timeout_s: float) -> socket.socket:
+    """A connection to an address. Raises OSError with the system's error, TimeoutError after the timeout.
+
+    A connect that fails with EAGAIN has not begun (no local port is left); a library may wait for it."""
+    raw = system.socket(system.AF_INET, system.SOCK_STREAM)
+    try:
+        raw.setblocking(False)
+        error = raw.connect_ex(at)
+        if error in UNDER_WAY:
+            socket.wait_write(raw.fileno(), timeout_s, TimeoutError("timed out"))
+            error = raw.getsockopt(system.SOL_SOCKET, system.SO_ERROR)
+        if error:
+            raise OSError(error, os.strerror(error))
+    except BaseException:
+        raw.close()
+        raise
+    return socket.socket(system.AF_INET, system.SOCK_STREAM, 0, raw.detach())
--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -1,7 +1,10 @@
 """HTTP/1.1 heads: parsed in place by httptools, written by gathered writes."""
 
+import errno
+import time
 from dataclasses import dataclass, field
 
+import gevent
 import httptools
 from gevent import socket
 
@@ -19,6 +22,10 @@
 FRAMING = b"content-length"  # written anew
 CODING = b"transfer-encoding"
 END = b"\r\n\r\n"  # of a head
+PASSING = frozenset(
+    (errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM)
+)  # the connection stands all the same
+PAUSE_S = 0.01  # before the next try of a call that failed so
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -284,14 +291,35 @@
     """One gathered write that never waits; what the system did not take of it."""
     try:
         sent = sock.sendmsg(parts, (), socket.MSG_DONTWAIT)
-    except BlockingIOError:
+    except OSError as error:
+        if error.errno not in PASSING:
+            raise
         sent = 0
     return b"".join(parts)[sent:] if sent < sum(map(len, parts)) else b""
 
 
+def write_all(sock: socket.socket, data: bytes) -> None:
+    """Writes everything, however long the system lacks buffers; whoever calls bounds the time."""
+    while data:
+        try:
+            data = data[sock.send(data) :]
+        except OSError as error:
+            if error.errno not in PASSING:
+                raise
+            gevent.sleep(PAUSE_S)
+
+
 def read(sock: socket.socket) -> memoryview:
-    """The next bytes, to be parsed at once; empty at the end."""
-    return VIEW[: sock.recv_into(BUFFER)]
+    """The next bytes, to be parsed at once; empty at the end. Raises TimeoutError of the socket."""
+    wait = sock.gettimeout()
+    end = None if wait is None else time.monotonic() + wait
+    while True:
+        try:
+            return VIEW[: sock.recv_into(BUFFER)]
+        except OSError as error:
+            if error.errno not in PASSING or (end is not None and time.monotonic() >= end):
+                raise
+            gevent.sleep(PAUSE_S)
 
 
 def look(sock: socket.socket) -> bytes | None:
--- a/myrtleroad/net/lookout.py
+++ b/myrtleroad/net/lookout.py
@@ -35,10 +35,17 @@
             del self.sources[fd]
             self.poll.unregister(fd)
 
+    def ready(self) -> list[int]:
+        """The descriptors on which something waits; all of them where the system cannot say."""
+        try:
+            return [fd for fd, _ in self.poll.poll(0)]
+        except OSError:
+            return list(self.sources)
+
     def look(self) -> None:
         """Costs one system call where nothing has come. Never switches to another greenlet."""
         if self.sources:
-            for fd, _ in self.poll.poll(0):
+            for fd in self.ready():
                 source = self.sources.get(fd)
                 if source is not None and not source.read_now():
                     self.drop(fd, source)
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -11,11 +11,28 @@
 from myrtleroad import interface as i
 from myrtleroad.net import head
 from myrtleroad.net.clock import Clock
+from myrtleroad.net.connecting import connect
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.ending import Answer, Broken, Cause, Reach, of_try
+from myrtleroad.net.listening import set_option
 from myrtleroad.net.told import Address, Told
 
-OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)  # we are short
+OURS = (
+    frozenset(  # no server is at fault: descriptors, buffers, memory, ports or the network are missing here
+        (
+            errno.EADDRNOTAVAIL,
+            errno.EAGAIN,
+            errno.EINTR,
+            errno.EMFILE,
+            errno.ENETDOWN,
+            errno.ENETUNREACH,
+            errno.ENFILE,
+            errno.ENOBUFS,
+            errno.ENOMEM,
+        )
+    )
+)
+TRANSIT_MS = 20.0  # less than what is left is told: for the way there, and for what holds us up before it
 SWEEP_S = 1.0  # how often idle connections are looked over
 SPARE_MS = 2000.0  # idle connections go this much before the machine closes them: two sweeps
 
@@ -211,27 +228,21 @@
             self.mailbox.put(Over(job, kept))
 
     def connect(self, job: Job) -> Link | Broken:
-        left, start, sock = job.ends_at - self.clock(), self.start, None
+        left, start = job.ends_at - self.clock(), self.start
         if left < 1:
             return LATE
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(min(self.connect_ms, left) / 1000)
-            sock.connect(self.at)
+            sock = connect(self.at, min(self.connect_ms, left) / 1000)
+        except TimeoutError:
+            return LATE if left < self.connect_ms else Broken(Reach.NOT_CONNECTED, Cause.TIMEOUT)
         except OSError as error:
-            if sock is not None:
-                sock.close()
-            if isinstance(error, TimeoutError):
-                return LATE if left < self.connect_ms else Broken(Reach.NOT_CONNECTED, Cause.TIMEOUT)
             if error.errno in OURS:
-                # Guards against resting a machine for what this front lacks.
                 self.counters.add("connections_short")
                 return Broken(Reach.NOT_CONNECTED, Cause.SHORT, str(error))
             return Broken(Reach.NOT_CONNECTED, Cause.REFUSED, str(error))
         except gevent.GreenletExit:
-            sock.close()
             return Broken(Reach.NOT_CONNECTED, Cause.CANCELLED)
+        set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY)
         self.counters.add("machine_connections")
         return Link(sock, start, self.share, self.clock())
 
@@ -267,6 +278,7 @@
         except head.Unfit:
             return Broken(reach, Cause.UNREADABLE)
         except OSError as error:
-            return Broken(reach, Cause.ENDED, str(error))
+            short = reach < Reach.WRITTEN and error.errno in OURS
+            return Broken(reach, Cause.SHORT if short else Cause.ENDED, str(error))
         except gevent.GreenletExit:
             return Broken(reach, Cause.CANCELLED)
