An option, socket, accept or answer that fails for a moment costs no request and no start

From reading: Door.shut took any error of accept for an empty queue, so that ECONNABORTED or ENFILE there left whole requests unread behind a closed listener; an answer that met ENOBUFS was dropped. Change: net/listening.py opens the listener in spite of what passes, options that a connection can do without never end it, a stop empties the queue until accept says that it is empty, an answer is written as buffers come free, and a connection that can no longer be read still gets the answer it is owed. A client whose next request waits is looked at every 50 ms, as attempts may begin for 100 ms after it has left.

--- a/myrtleroad/net/door.py
+++ b/myrtleroad/net/door.py
@@ -17,6 +17,7 @@
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.lag import Lag, unread_ms
+from myrtleroad.net.listening import open_listener, set_option
 from myrtleroad.net.log import Log, Scarce
 from myrtleroad.net.told import Told
 
@@ -29,10 +30,16 @@
 LINGER_MS = 1000.0  # for a client to read the last answer and close, before we do
 WRITE_MS = 2000.0  # for a client to take an answer: 64 KiB fit in the system's buffers, a reader needs ms
 SWEEP_S = 0.2  # how often connections are looked over: the limits above end within the 3 s
-LOOK_S = 0.1  # how often a client whose next req waits is looked at, as its leaving cannot be read
+LOOK_S = 0.05  # how often a client whose next req waits is looked at, as its leaving cannot be read
 DRAIN = (
     256 * 1024
 )  # bytes read for nothing after the last answer, so that a close does not cut that answer off
+GONE = (
+    errno.EBADF,
+    errno.ECONNRESET,
+    errno.ENOTCONN,
+    errno.EPIPE,
+)  # the other side has left, or we have closed
 ID_LIMIT = 128  # characters of a req's id: some times the common forms
 
 
@@ -83,8 +90,9 @@
         self.begun, self.first = self.door.clock() - self.since, self.door.lag.turns
         try:
             self.read()
-        except OSError:
-            pass  # the connection is over, whatever ended it
+        except OSError as error:
+            if error.errno not in GONE:
+                self.unreadable()
         except Exception as error:
             fault("client", error, self.door.counters, self.door.log)
             self.failed()
@@ -94,6 +102,11 @@
             self.leave()
             self.drop()
 
+    def unreadable(self) -> None:
+        """Nothing more can be read, but an answer may still reach the client."""
+        self.closing = True
+        self.turn.wait()
+
     def failed(self) -> None:
         """What was taken is answered in spite of a fault in its reader: by the module where that has the req,
         else as failed."""
@@ -205,7 +218,7 @@
 
     def write(self, left: bytes) -> None:
         """What the system did not take at once of an answer, as its client reads."""
-        self.guarded(lambda: self.sock.sendall(left))
+        self.guarded(lambda: head.write_all(self.sock, left))
         self.wrote()
 
     def guarded(self, call: Callable[[], bytes | None]) -> bytes | None:
@@ -249,7 +262,6 @@
 
 
 class Door:
-    BACKLOG = 1024  # as deep as the descriptors allowed; the system may cut it
     BRIEF = 8  # connections taken beyond the clients' half only to be refused: a third of what is kept APART
     ROOM = 16  # connections closed at once when descriptors run short
     PAUSE_S = 0.01  # before the next look where none can be closed, so that accepting does not spin
@@ -276,10 +288,8 @@
         self.stopping = False
         self.facts, self.networks, self.gate = told.facts, None, None  # what operators narrow of the told
         self.tenants = [name.decode() for name in told.tenants]
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(told.listen)
-        self.sock.listen(self.BACKLOG)
+        self.sock = open_listener(told.listen)
+        self.closed = False  # nothing is accepted any more
 
     @property
     def crowded(self) -> bool:
@@ -336,10 +346,10 @@
                 continue
             try:
                 sock, peer = self.sock.accept()
-            except OSError as error:
-                if error.errno in (errno.EBADF, errno.EINVAL):
-                    return  # closed, at a stop
-                # Guards against spinning where no descriptor is left, or a client left before its turn.
+            except OSError:
+                if self.closed:
+                    return
+                # So that accepting does not spin where no descriptor is left, or a client left early.
                 self.counters.add("accepts_failed")
                 self.make_room()
                 gevent.sleep(self.PAUSE_S)
@@ -361,7 +371,7 @@
                 client.look(now)
 
     def welcome(self, sock: socket.socket, peer: str, brief: bool = False) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY)
         self.counters.add("client_connections")
         client = Client(self, sock, peer, brief)
         self.clients.add(client)
@@ -380,15 +390,25 @@
             client.drop()
         return bool(given)
 
-    def shut(self) -> None:
-        """Take what is in the queue, then stop listening and close the idle connections."""
+    def shut(self, until: float) -> None:
+        """Take what is in the queue, then stop listening and close the idle connections. ``until``: how long
+        accepting may fail before what is in the queue is given up, as its requests are over by then."""
         self.sock.settimeout(0)
-        try:
-            while True:
+        while True:
+            try:
                 sock, peer = self.sock.accept()
+            except BlockingIOError:
+                break  # the queue is empty
+            except OSError:
+                self.counters.add("accepts_failed")
+                if self.clock() >= until:
+                    break
+                self.make_room()
+                gevent.sleep(self.PAUSE_S)
+            else:
                 self.welcome(sock, peer[0])
-        except OSError:
-            self.sock.close()
+        self.closed = True
+        self.sock.close()
         gevent.sleep(0)  # what has come on them is read before any is found idle
         for client in [c for c in self.clients if c.idle]:
             client.drop()
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -117,8 +117,8 @@
         self.log("stopping", open=len(self.brain.open))
         self.door.stopping = True
         gevent.sleep(LATE_S)
-        self.door.shut()
         last = self.clock() + max(r.timeout_ms for r in self.told.facts.routes)  # for reqs half come
+        self.door.shut(last)
         while self.brain.open or (self.clock() < last and not all(c.idle for c in self.door.clients)):
             gevent.sleep(0.01)
         self.show()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -248,7 +248,7 @@
     taken.get().answer(reply.shed(0.0))
     code, head, _ = status(late)
     assert code == 503 and b"Connection: close" in head
-    d.shut()
+    d.shut(d.clock())
     assert idle.recv(1) == b""
     held.answer(reply.errored())
     assert status(holding)[0] == 502
