--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -335,6 +335,9 @@
         """Whether what the list and the news said when the module chose the machine still holds, after all
         that has been told by now. Asked directly before the first byte."""
         self.hear()
+        if job.ident not in self.open:
+            self.counters.add("sends_stopped_by_leaving")
+            return False
         known = self.balancer.machines.get(job.machine)
         build, started, cap = job.ticket
         listed = known is not None and self.balancer.listed_open(known, self.clock())
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -212,6 +212,15 @@
     assert not b.ids and taken(b, 4, word=b"same") == [] and len(sent(b)) == 1
 
 
+def test_an_attempt_that_waited_for_its_connection_is_written_after_its_client_has_left():
+    b = build_brain(listed("s-1", AT))
+    taken(b)
+    (job,) = sent(b)
+    assert b.stands(job)
+    b.take(brain.Gone(1), b.clock())
+    assert not b.stands(job) and b.counters.counts["sends_stopped_by_leaving"] == 1
+
+
 def build_front(machine_talk, times=1):
     """A front between stand-ins; its log goes to a pipe whose end is returned."""
     chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n"
