A log that cannot be written costs its lines and nothing else

From reading: EPIPE, ENOSPC or EIO on standard output ended the flush at a stop with an error and exit code 1, and a count of descriptors that failed did so too. Lines that cannot be written are dropped and counted. Tests: tests/test_soak_calls.py, three errors, with SIGUSR1 and SIGTERM.

--- a/myrtleroad/net/log.py
+++ b/myrtleroad/net/log.py
@@ -21,6 +21,9 @@
     return level
 
 
+REST_S = 0.01  # after a line that could not be written
+
+
 class Log:
     KEPT = 1000  # lines that wait for a slow reader; later ones are dropped and counted
 
@@ -54,15 +57,22 @@
             self.some.wait()
             self.some.clear()
             while self.lines:
-                line = self.lines.popleft()
-                while line:
-                    line = line[nb_write(self.fd, line) :]
+                self.write(self.lines.popleft())
+
+    def write(self, line: bytes) -> None:
+        """One line; one that the system does not take is dropped and counted, and costs nothing else."""
+        try:
+            while line:
+                line = line[nb_write(self.fd, line) :]
+        except OSError:
+            self.dropped += 1
+            gevent.sleep(REST_S)
 
     def flush(self) -> None:
         """At exit: what still waits, as far as the reader takes it within a moment."""
         with gevent.Timeout(0.5, False):
             while self.lines:
-                nb_write(self.fd, self.lines.popleft())
+                self.write(self.lines.popleft())
 
 
 class Scarce:
@@ -89,4 +99,8 @@
 
 
 def descriptors() -> int:
-    return len(os.listdir("/proc/self/fd"))
+    """How many the process holds, -1 where the system does not say."""
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return -1
