A folder that cannot be written costs the control service no answer and no number

From reading: a write or sync that failed with ENOSPC or EIO left an operator without an answer, and a version in memory that the folder did not have; a front's hello ended its stream; a failed accept ended the operators' socket for good. Change: a version that cannot be kept is refused in words and its number not used again; what fronts told is kept as soon as the folder can be written; a failed sync after the renaming is made up for.

--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -4,6 +4,7 @@
 and which of them every front should hold. It is written whole beside itself, synced and renamed, so that
 a cut leaves the old one or the new one."""
 
+import contextlib
 import os
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -45,6 +46,7 @@
 
     def __init__(self, path: Path):
         self.path = path
+        self.synced = True  # whether what was saved last is durable
         path.mkdir(parents=True, exist_ok=True)
 
     def load(self) -> State:
@@ -63,7 +65,7 @@
             ) from None
 
     def save(self, state: State) -> None:
-        """Durable once this returns. Guards against numbers that go back after a cut."""
+        """Holds once this returns, so that numbers never go back. Raises OSError where the old one stands."""
         state.published = state.published[-self.KEPT :]
         text = orjson.dumps(
             {
@@ -76,13 +78,27 @@
             }
         )
         beside = self.path / f".{STATE}.new"
-        with beside.open("wb") as f:
-            f.write(text)
-            f.flush()
-            os.fsync(f.fileno())
-        os.replace(beside, self.path / STATE)
-        at = os.open(self.path, os.O_RDONLY)
         try:
-            os.fsync(at)
-        finally:
-            os.close(at)
+            with beside.open("wb") as f:
+                f.write(text)
+                f.flush()
+                os.fsync(f.fileno())
+            os.replace(beside, self.path / STATE)
+        except OSError:
+            with contextlib.suppress(OSError):
+                beside.unlink()  # half a file on a full disk helps nobody
+            raise
+        self.synced = self.sync()
+
+    def sync(self) -> bool:
+        """Whether the folder's entry for the newest state is durable too. The state itself holds from the
+        renaming on, for whoever starts next; only a loss of power could bring the one before back."""
+        try:
+            at = os.open(self.path, os.O_RDONLY)
+            try:
+                os.fsync(at)
+            finally:
+                os.close(at)
+        except OSError:
+            return False
+        return True
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -25,6 +25,7 @@
 from myrtleroad.control.numbering import FIRST_EPOCH, Taken, as_difference
 from myrtleroad.control.numbering import number as numbered
 from myrtleroad.control.rollout import Act, Finished, Halted, Phase, Plan, Rollout, Send
+from myrtleroad.net.listening import set_option
 
 ALIVE_S, SILENT_S = 2.0, 5.0  # as the fronts': docs/formats/config-stream.md
 QUEUED = 64  # frames that wait for a front; one that reads none of them is cut off
@@ -91,6 +92,7 @@
         self.texts: dict[Name, Published] = {}
         for p in self.state.published:
             self.keep(p)
+        self.unsaved = False  # the folder's state is behind ours, as it could not be written
         self.carry(self.rollout.resume(max(self.texts, default=NONE), self.state.halted, clock()))
         self.mailbox: SimpleQueue = SimpleQueue()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -140,6 +142,7 @@
                 message = self.mailbox.get()
             now = self.clock()
             try:
+                self.catch_up()
                 if message is None:
                     self.carry(self.rollout.tick(now))
                 elif isinstance(message, Call):
@@ -167,7 +170,7 @@
                 self.links[link.name] = link
                 if link.name not in self.rollout.fronts:
                     self.state.fronts = [*self.rollout.fronts, link.name]
-                    self.folder.save(self.state)
+                    self.keep_state()
                 self.carry(self.rollout.hello(link.name, link.holds, now))
             case "answer" if link.name:
                 name, acked = Name(int(f["epoch"]), int(f["number"])), bool(f["acked"])
@@ -197,11 +200,11 @@
                         self.offer(link, name)
                 case Halted(name, why):
                     self.state.halted = why
-                    self.folder.save(self.state)
+                    self.keep_state()
                     self.log("rollout halted", epoch=name.epoch, number=name.number, why=why)
                 case Finished(name):
                     self.state.base = (name.epoch, name.number)
-                    self.folder.save(self.state)
+                    self.keep_state()
                     self.log("rollout done", epoch=name.epoch, number=name.number)
 
     def offer(self, link: Link, name: Name, whole: bool = False) -> None:
@@ -269,9 +272,7 @@
         except Taken as taken:
             raise Refused(str(taken)) from None
         p = Published(self.state.epoch, number, digest(found.entries), text, found.confirm_ms, found.note, of)
-        self.state.number, self.state.halted = number, ""
-        self.state.published.append(p)
-        self.folder.save(self.state)  # before any front hears of it: numbers never go back
+        self.save_published(p)
         self.keep(p)
         self.parts.clear()
         for old in sorted(self.texts)[: -Folder.KEPT]:
@@ -280,6 +281,36 @@
         self.carry(self.rollout.publish(Name(p.epoch, number), now))
         return {"number": number}
 
+    def save_published(self, p: Published) -> None:
+        """Before any front hears of it, as numbers never go back. Where it cannot be kept it is not taken on,
+        and its number is not used again."""
+        before, halted = list(self.state.published), self.state.halted
+        self.state.number, self.state.halted = p.number, ""
+        self.state.published.append(p)
+        try:
+            self.folder.save(self.state)
+        except OSError as error:
+            self.state.published, self.state.halted = before, halted
+            self.unsaved = True
+            raise Refused(f"version {p.number} cannot be kept, publish it again later: {error}") from None
+
+    def keep_state(self) -> None:
+        """What has been learnt goes to the folder, at once or as soon as it can be written."""
+        try:
+            self.folder.save(self.state)
+            self.unsaved = False
+        except OSError as error:
+            if not self.unsaved:
+                self.log("state not kept", error=str(error))
+            self.unsaved = True
+
+    def catch_up(self) -> None:
+        """Writes and syncs that failed are tried again."""
+        if self.unsaved:
+            self.keep_state()
+        elif not self.folder.synced:
+            self.folder.synced = self.folder.sync()
+
     def rollback(self, to: int, now: float) -> dict[str, Any]:
         """The older content under a new number. It goes the way of any version, ring by ring."""
         old = self.texts.get(Name(self.state.epoch, to))
@@ -333,7 +364,7 @@
         self.open += 1
         writer = gevent.spawn(self.write, link)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY)
             sock.settimeout(SILENT_S)
             while data := sock.recv(64 * 1024):
                 for frame in decoder.feed(data):
@@ -362,7 +393,14 @@
 
     def serve_calls(self, calls: socket.socket) -> None:
         while True:
-            sock, _ = calls.accept()
+            try:
+                sock, _ = calls.accept()
+            except OSError as error:
+                if self.stop.is_set():
+                    return
+                self.log("accept failed", error=str(error))
+                gevent.sleep(0.05)
+                continue
             gevent.spawn(self.call, sock)
 
     def call(self, sock: socket.socket) -> None:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,5 +1,6 @@
 """A control service and fronts on loopback: versions taken, refused, rolled back, and what cuts leave."""
 
+import errno
 import os
 import struct
 import time
@@ -363,6 +364,63 @@
     assert f.counters.counts["faults"] == 0
 
 
+def failing(monkeypatch, name, error=errno.ENOSPC):
+    """The system's call of this name fails until what is returned is called."""
+
+    def fail(*args):
+        raise OSError(error, os.strerror(error))
+
+    real = getattr(os, name)
+    monkeypatch.setattr(os, name, fail)
+    return lambda: monkeypatch.setattr(os, name, real)
+
+
+@pytest.mark.parametrize("call", ["fsync", "replace"])
+def test_a_version_that_cannot_be_kept_is_offered_and_forgotten_by_the_next_service(world, monkeypatch, call):
+    w = world()
+    offered = scripted(w, "n0", True)
+    assert w.publish("trial most-share=0.05")["ok"]
+    until(lambda: offered == [1])
+    mend = failing(monkeypatch, call)
+    refused = w.publish("trial most-share=0.04")
+    assert not refused["ok"] and "cannot be kept" in refused["why"]
+    mend()
+    assert w.publish("trial most-share=0.03", number=3)["ok"]
+    until(lambda: offered == [1, 3])
+    at = w.kill()
+    w.serve(at)
+    assert (w.service.state.number, [p.number for p in w.service.state.published]) == (3, [1, 3])
+
+
+def test_a_full_disk_as_a_front_says_hello_keeps_it_from_its_version(world, monkeypatch):
+    w = world()
+    w.publish("trial most-share=0.05")
+    mend = failing(monkeypatch, "fsync")
+    offered = scripted(w, "n0", True)
+    until(lambda: offered == [1] and w.service.rollout.phase == Phase.DONE)
+    assert w.service.unsaved and Folder(w.folder).load().fronts == []
+    mend()
+    until(lambda: not w.service.unsaved)
+    kept = Folder(w.folder).load()
+    assert kept.fronts == ["n0"] and kept.base == w.service.state.base
+
+
+def test_a_folder_that_cannot_be_synced_after_the_renaming_loses_no_number(world, monkeypatch):
+    w = world()
+    real = os.open
+    monkeypatch.setattr(os, "open", lambda path, *rest: fail_for(path, w.folder, real, *rest))
+    assert w.publish("trial most-share=0.05") == {"ok": True, "number": 1}
+    assert not w.service.folder.synced and Folder(w.folder).load().number == 1
+    monkeypatch.setattr(os, "open", real)
+    until(lambda: w.service.folder.synced)
+
+
+def fail_for(path, folder, real, *rest):
+    if path == folder:
+        raise OSError(errno.EIO, "no sync")
+    return real(path, *rest)
+
+
 def test_a_state_that_cannot_be_read_is_told_and_not_begun_over(tmp_path):
     (tmp_path / "state.json").write_bytes(b'{"epoch": 1')
     with pytest.raises(Unsound, match="higher epoch"):
