How old a start is no longer hangs on this machine's wall clock

From reading: Clock anchors on the wall clock at the start, and startedAtMs is Unix time, so an hour off made every cold server look warm or warm ones cold. A start that comes on a watch followed all along is some moments old: membership/startclock.py takes that for the distance of the two clocks where the wall clock contradicts it, and starts look younger at most. Known only from a whole list, a start ahead of our clock shows the clock behind; an hour ahead cannot be told from an old start until the first news on the watch.

--- a/myrtleroad/choice.py
+++ b/myrtleroad/choice.py
@@ -18,6 +18,7 @@
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 from myrtleroad.membership.lease import ListLease
+from myrtleroad.membership.startclock import StartClock
 
 Sample = tuple[float, float, float, float, bool]  # a try's score, covariate, end, tries met; completed?
 Past = list[tuple["Machine", "Try", bool]]  # a req's ended tries, and whether each may have run
@@ -216,6 +217,7 @@
         self.vote, self.vote_at, self.vote_ok, self.next_call = i.Vote(-1, Verdict.NONE, 0), -1e9, False, 0.0
         self.retry_at = 0.0  # after a call that did not count
         self.most_share = 1.0  # of a trial, that operators allow
+        self.start_clock = StartClock()  # told by a host that follows a watch
         self.lease: ListLease | None = None  # of the list; a host that follows none sets none
         self.lease_held = True  # as last noted in the log
         self.credit, self.part = 0.0, 0.0  # tries that the build on trial may be given; earned a req
@@ -254,7 +256,8 @@
         live = [m for m in self.machines.values() if m.row.status == Status.IN_SERVICE]
         self.sides = {x: [m for m in live if self.on_trial(m.row.build) == x] for x in (False, True)}
         starts = [m.row.started for m in self.machines.values() if m.row.build == self.news.build]
-        self.newest = max(starts, default=0.0)
+        newest = max(starts, default=0.0)
+        self.newest = newest - self.start_clock.offset() if newest > 0 else 0.0
         self.steps = {x: list(accumulate(self.size(m) for m in side)) for x, side in self.sides.items()}
         self.young = {x: [m for m in side if m.row.started > 0] for x, side in self.sides.items()}
         self.mean_size = sum(map(self.size, live)) / max(1, len(live))
@@ -369,9 +372,13 @@
 
     def warmth(self, m: Machine, now: float) -> float:
         rules = self.facts.rules
-        age = max(0.0, now - m.row.started) if m.row.started > 0 else float("inf")
+        age = max(0.0, self.age(m, now))
         return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
 
+    def age(self, m: Machine, now: float) -> float:
+        """How long ago a machine started; inf for long ago."""
+        return now + self.start_clock.offset() - m.row.started if m.row.started > 0 else float("inf")
+
     def cold_room(self, m: Machine, cost: float, now: float) -> bool:
         """Guards a cold machine: our share of multiple x (low) capacity x window, in whole tries by luck."""
         rules, warmth = self.facts.rules, self.warmth(m, now)
@@ -645,7 +652,7 @@
 
     def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
-        judged = m.row.started <= 0 or now - m.row.started >= max(Judge.YOUNG, self.facts.rules.cold_ms)
+        judged = self.age(m, now) >= max(Judge.YOUNG, self.facts.rules.cold_ms)
         met = len(m.out) + max(0.0, m.others) + 2
         self.usual_met += 0.02 * (met - self.usual_met)
         t = m.out[rq.ident, number] = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -393,8 +393,16 @@
                 case _:
                     raise TypeError(f"not carried out here: {act!r}")
 
+    def note_starts(self, listing: Listing, now: float) -> None:
+        """Starts that this listing is the first to tell."""
+        for entry in listing.entries:
+            known = self.places.get(self.index.get(entry.word, -1))
+            if known is None or known[1] != entry.row.started:
+                self.balancer.start_clock.told(entry.row.started, now, listing.watched)
+
     def listed(self, listing: Listing, now: float) -> None:
         """The list reaches the module and the machines' actors before any send that follows it."""
+        self.note_starts(listing, now)
         for e in listing.entries:
             number = self.index.setdefault(e.word, len(self.index))
             if number == len(self.names):
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -80,10 +80,11 @@
         if not text.strip():
             return
         said = self.said(text, self.sources[stream.number])
+        watched = stream.told and self.following.sight is i.Sight.FRESH
         change = self.book.take(said, self.following.sole(stream.number))
         if said.source == self.book.source:
             self.told(stream, version=said.version, entries=len(said.entries))
-        self.apply(change)
+        self.apply(change, watched)
 
     def parted(self, stream: Stream) -> None:
         source = self.sources.pop(stream.number, self.book.source)
@@ -99,7 +100,7 @@
         super().seen(act)
         self.deliver(i.Sighted(act.sight, act.since))
 
-    def apply(self, change: Change[Entry] | None) -> None:
+    def apply(self, change: Change[Entry] | None, watched: bool = False) -> None:
         """What a list changes goes to the module; a whole list is asked for where one is wanted."""
         if change is None:
             return
@@ -109,7 +110,7 @@
             rows.append(self.book.known[word].draining())
         if change.whole or rows:
             kind = i.ListKind.WHOLE if change.whole else i.ListKind.CHANGES
-            self.deliver(Listing(self.book.version, kind, rows))
+            self.deliver(Listing(self.book.version, kind, rows, watched and not change.whole))
             by_status = Counter(e.row.status.name.lower() for e in rows)
             self.log("list applied", version=self.book.version, whole=change.whole, **by_status)
         if change.ask and not self.fetching:
--- a/myrtleroad/net/told.py
+++ b/myrtleroad/net/told.py
@@ -52,6 +52,7 @@
     version: int
     kind: i.ListKind
     entries: list[Entry]
+    watched: bool = False  # changes that came as they happened, on a watch that has been followed all along
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 from myrtleroad.membership.book import Book, Rank, Said
 from myrtleroad.membership.following import Close, Following, Open, Seen
 from myrtleroad.membership.lease import ListLease, Terms
+from myrtleroad.membership.startclock import StartClock
 
 MANNER = Manner(fronts=3, grace_ms=250.0, sign_ms=2000.0, most_ms=10000.0)
 
@@ -373,3 +374,32 @@
     assert not lease.may_begin(4999.0, 0.0) and lease.may_begin(5000.0, 0.0)
     lease.followed(10.0)
     assert lease.may_begin(10.0, 0.0)
+
+
+# --- starts, and a wall clock that is wrong ---
+
+HOUR_MS = 3_600_000.0
+
+
+@pytest.mark.parametrize("wrong", [0.0, -HOUR_MS, HOUR_MS, 5000.0, -5000.0])
+def test_a_start_that_comes_on_a_watch_is_young_whatever_the_wall_clock_says(wrong):
+    clock, started = StartClock(), 1e12
+    told = started + 800.0 + wrong  # by the front's clock; news took 0.8 s
+    clock.told(started, told, watched=True)
+    age = told + 1000.0 + clock.offset() - started
+    assert 1000.0 <= age <= 1800.0
+
+
+def test_a_list_that_comes_late_once_does_not_make_older_starts_younger():
+    clock = StartClock()
+    clock.told(1e12, 1e12 + 500.0, watched=True)
+    clock.told(1e12, 1e12 + 9000.0, watched=True)
+    assert clock.offset() == 0.0
+
+
+def test_starts_of_a_whole_list_say_only_that_the_clock_is_not_behind_them():
+    clock = StartClock()
+    clock.told(1e12, 1e12 + HOUR_MS, watched=False)
+    assert clock.offset() == 0.0
+    clock.told(1e12, 1e12 - HOUR_MS, watched=False)
+    assert clock.offset() == HOUR_MS
