--- a/myrtleroad/net/door.py
+++ b/myrtleroad/net/door.py
@@ -204,12 +204,22 @@
         self.closing = self.closing or self.door.stopping or self.door.crowded
         self.door.counters.add(f"answers_{final.status}")
         self.written = self.door.clock()
-        left = self.guarded(lambda: head.write_now(self.sock, final.parts(self.closing)))
+        parts = self.parts(final)
+        left = self.guarded(lambda: head.write_now(self.sock, parts))
         if left:
             gevent.spawn(self.write, left)
         else:
             self.wrote()
 
+    def parts(self, final: reply.Reply) -> list[bytes]:
+        """An answer as bytes; one that cannot be made is a failure, told as the last of its connection."""
+        try:
+            return final.parts(self.closing)
+        except Exception as error:
+            fault("answer", error, self.door.counters, self.door.log)
+            self.closing = True
+            return reply.errored().parts(True)
+
     def leave(self) -> None:
         """The req that the gate let in is over."""
         if self.tenant is not None and self.door.gate is not None:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -102,6 +102,12 @@
         assert all(len(got) <= 1 for got in self.answers.values())
         assert off(self.b.counters.counts, len(self.b.open)) == 0
 
+    @invariant()
+    def none_is_left_open_past_its_time(self):
+        if self.now >= self.b.look_at - brain.SLACK_MS:
+            looked = self.b.look_at - brain.SLACK_MS
+            assert all(x.taken.rq.ends_at + brain.SLACK_MS >= looked for x in self.b.open.values())
+
     def teardown(self):
         self.work(len(self.waiting))
         self.now += 2 * 900.0
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -266,6 +266,31 @@
     program.door.sock.close()
 
 
+def test_a_req_held_at_sigterm_is_answered_and_the_front_ends():
+    came, go = SimpleQueue(), Event()
+
+    def talk(sock):
+        read_req(sock)
+        came.put(1)
+        go.wait()
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+
+    program, running, reader = build_front(talk)
+    client = socket.create_connection(program.door.sock.getsockname())
+    client.sendall(REQ)
+    came.get()
+    program.on_term()
+    gevent.spawn_later(0.02, go.set)
+    head, body = read_req(client)
+    assert head.startswith(b"HTTP/1.1 200") and b"Connection: close" in head and body == b"hi"
+    running.join()
+    gc.unfreeze()
+    events = [orjson.loads(line) for line in os.read(reader, 65536).splitlines()]
+    counts = next(e["counts"] for e in events if e["event"] == "counters")
+    assert counts["reqs_taken"] == counts["reqs_completed"] == counts["answers_200"] == 1
+    assert [e["event"] for e in events][-1] == "stopped"
+
+
 def test_many_open_at_sigterm_and_one_half_come_are_all_answered():
     came, go, many = SimpleQueue(), Event(), 120
 
