Decisions in a package of their own: the trial's test, servers, the balancer

choice.py, 660 dense lines, goes to policy/trial.py (TrialTest, Yuen and CUPED), policy/state.py (Server, Attempt) and policy/balancer.py; a move and these names, no behaviour. Left: admission, warm-up, selection and votes inside balancer.py.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -18,9 +18,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.life import Life
+from myrtleroad.policy.balancer import Balancer
 
 DAYS = ("calm", "pause", "kill", "zone", "cut", "stale", "trial", "burst")
 GRACE, COLD_MS, COLD_SHARE, FALL_MS, FACTOR, IDLE_MS = 250.0, 3000.0, 0.36, 2000.0, 2.0, 15_000.0
@@ -107,7 +107,7 @@
     number: int
     zone: int
     weight: float
-    balancer: choice.Balancer
+    balancer: Balancer
     idle: dict[int, list[float]] = field(default_factory=dict)  # by node: when each idle connection was freed
     knows: dict[int, tuple[i.Status, float]] = field(default_factory=dict)  # what it was told of a node, when
     trial: deque[float] = field(default_factory=deque)  # tries on the trial; emptied by age, as is ``taken``
@@ -133,7 +133,7 @@
         quota = 1300 * self.per_ms
         self.fronts = []
         for n in range(fronts):
-            b = choice.Balancer(facts(fronts, quota, n % zones), self.chance.getrandbits(40), 0.0)
+            b = Balancer(facts(fronts, quota, n % zones), self.chance.getrandbits(40), 0.0)
             self.fronts.append(Front(n, n % zones, self.chance.lognormvariate(0.0, 0.6), b))
         self.cap, self.longest = 0.0, 0
 
@@ -246,7 +246,7 @@
     def restart(self, f: Front) -> None:
         """Killed outright: what it held is gone, owed to nobody."""
         old = f.balancer
-        f.balancer = choice.Balancer(old.facts, self.chance.getrandbits(40), self.now)
+        f.balancer = Balancer(old.facts, self.chance.getrandbits(40), self.now)
         f.balancer.stage_news(self.news(1, i.Phase.RELEASED, 0.0), self.now)
         rows = [i.Row(*(getattr(n.row, name) for name in i.Row.__slots__)) for n in self.nodes]
         f.balancer.listed(i.Listed(i.ListKind.REMEMBERED, rows), self.now)
@@ -282,7 +282,7 @@
         work = self.chance.lognormvariate(-0.2, 0.63) * WORK[route][0]
         self.step(f, f.balancer, rq, life, work, None)
 
-    def step(self, f: Front, b: choice.Balancer, rq: i.Req, life: Life, work: float, ended: i.Ended | None):
+    def step(self, f: Front, b: Balancer, rq: i.Req, life: Life, work: float, ended: i.Ended | None):
         for act in life.resume(ended, self.now):
             match act:
                 case i.Send(machine, timeout):
--- a/myrtleroad/drill/host.py
+++ b/myrtleroad/drill/host.py
@@ -4,12 +4,12 @@
 from random import Random
 from typing import Any
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.drill import codec
 from myrtleroad.facts import facts
 from myrtleroad.life import Life
 from myrtleroad.membership.asking import Asking, Manner, Service
+from myrtleroad.policy.balancer import Balancer
 
 WAKE, ASK = 0, 1  # the cookies of the module's wake-up and of asking for the list; those above are of reqs
 SIGN_MS = 2000.0  # no signs of life come on this wire; the real one's interval
@@ -21,7 +21,7 @@
     def __init__(self, number: int, settings: dict[str, Any], seed: int, now: float):
         self.number = number
         known = facts(settings)
-        self.balancer = choice.Balancer(known, seed, now)
+        self.balancer = Balancer(known, seed, now)
         rules = known.rules
         most_ms, service = rules.ask_every_ms or float("inf"), Service.SHARED  # a list that is asked for
         manner = Manner(known.balancers, rules.drain_grace_ms, SIGN_MS, most_ms, service)
--- a/myrtleroad/net/brain.py
+++ b/myrtleroad/net/brain.py
@@ -9,7 +9,6 @@
 import gevent
 from gevent.queue import Empty, SimpleQueue
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.answers.account import off
 from myrtleroad.answers.entry import Entry, Word
@@ -25,6 +24,7 @@
 from myrtleroad.net.lookout import Lookout
 from myrtleroad.net.machine import CallOff, Go, Job, Leave, Machine, Moved, Share, TryEnded
 from myrtleroad.net.told import Address, Listing, Told
+from myrtleroad.policy.balancer import Balancer
 
 APART = 24  # descriptors for all else: log, clock, both streams, twice while they move, a vote, some to spare
 MOST_HELD = 1e6  # reqs that no machine holds: a report past it, or not a number, is none
@@ -86,7 +86,7 @@
         self.off = 0  # reqs by which the account was off as last told
         self.look_at = 0.0  # when open reqs are next looked over for one that nothing has ended
         self.lookout = Lookout()
-        self.balancer = choice.Balancer(told.facts, told.seed, clock())
+        self.balancer = Balancer(told.facts, told.seed, clock())
         self.open: dict[int, Open] = {}  # emptied as each req ends
         self.ids: Counter[bytes] = Counter()  # of open reqs and of tries that are out; emptied as each ends
         self.timers: list[tuple[float, int, Life | None, int]] = []  # emptied as each timer rings
--- a/myrtleroad/choice.py
+++ b/myrtleroad/policy/balancer.py
@@ -1,4 +1,4 @@
-"""All decisions of myrtleroad: routing, health, further upstream tries, refusals, judging, votes.
+"""Routing, health, further attempts, refusals and votes of one front.
 
 A host makes one ``Balancer(facts, seed, now)`` per front, calls ``wake`` at once and whenever it asked to,
 hands it events and runs ``serve(rq, now)`` of each req. See ``interface.py`` and ``docs/design.md``.
@@ -7,193 +7,16 @@
 from bisect import bisect
 from collections import deque
 from collections.abc import Generator, Iterable
-from dataclasses import dataclass, field
 from itertools import accumulate
 from math import sqrt
 from random import Random
 
-import numpy as np
-from scipy.special import bdtri, ndtr, stdtr
-
 from myrtleroad import interface as i
 from myrtleroad.interface import Effect, End, Phase, Status, Verdict
 from myrtleroad.membership.lease import ListLease
 from myrtleroad.membership.startclock import StartClock
-
-Sample = tuple[float, float, float, float, bool]  # a try's score, covariate, end, tries met; completed?
-Past = list[tuple["Machine", "Try", bool]]  # a req's ended tries, and whether each may have run
-
-
-@dataclass(slots=True)
-class Try:
-    route: int
-    sent: float
-    cost: float
-    judged: bool
-    key: str | None
-    met: float  # tries on the machine when it was sent, and 2 as a few cores share them
-
-
-@dataclass(slots=True, eq=False)
-class Machine:
-    row: i.Row
-    luck: float = 0.0  # drawn anew each window: which fronts may send a cold machine the last part of a try
-    luck_until: float = -1e9
-    out: dict[tuple[int, int], Try] = field(default_factory=dict)  # emptied by each try's one ending
-    others: float = 0.0  # load reported beyond our own
-    pace: float = 1.0  # our latencies here over the usual ones of their routes
-    known: float = 0.0  # completed tries behind that
-    failing: float = 0.0  # share of recent tries that failed
-    ejected_until: float = 0.0
-    linked: float = -1e9  # when a connection to it was last known to work
-    took: float = -1e9  # when a try was sent that it completed: it drained not then
-    served_at: float = -1e9  # the same, over a connection that the list vouches for
-    faded: float = 0.0  # when what is not seen was last faded
-    sent: deque[tuple[float, float]] = field(default_factory=deque)  # emptied by age, see draw
-
-
-def trimmed(sample: list[Sample]) -> tuple[np.ndarray, np.ndarray, int]:
-    """Trimmed means of score and covariate, their winsorized sums over h(h - 1), and h, at 1% an end."""
-    values = np.array([x[:2] for x in sample]).T
-    ordered, n = np.sort(values), len(sample)
-    g = int(0.01 * n)  # the design's figure
-    low, high, h = ordered[:, [g]], ordered[:, [n - g - 1]], n - 2 * g
-    return ordered[:, g : n - g].mean(axis=1), np.cov(values.clip(low, high)) * (n - 1) / (h * (h - 1)), h
-
-
-def yuen_cuped(trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, float]:
-    """One-sided p that the trial's mean exceeds margin times the earlier's, and both means (paper, 3.3)."""
-    ((y2, x2), s2, h2), ((y1, x1), s1, h1) = trimmed(trial), trimmed(earlier)
-    both, d2, d1 = s2 + s1, s2[0, 0], s1[0, 0]
-    theta = both[0, 1] / both[1, 1] if both[1, 1] > 0 else 0.0
-    gap = y2 - margin * y1 - theta * (x2 - x1)
-    variance = d2 + d1 + theta * theta * both[1, 1] - 2 * theta * both[0, 1]
-    if variance <= 0 or d1 + d2 <= 0:
-        return (0.0 if gap > 0 else 1.0), float(y2), float(y1)
-    freedom = (d1 + d2) ** 2 / (d1 * d1 / (h1 - 1) + d2 * d2 / (h2 - 1))
-    return float(stdtr(freedom, -gap / sqrt(variance))), float(y2), float(y1)
-
-
-class Judge:
-    FLOOR = 20  # samples a side before a test (design), of the fronts that decide together
-    HINT, PATIENCE = 5, 4000.0  # samples of a hold; the design's stage age, for a front short of samples
-    MARGIN = 1.5  # over 1.3, as a good build may be a seventh slower and its machines a little busier
-    YOUNG = 3000.0  # machines started later than this ago count on neither side (design)
-    KEEP = 1000  # samples a side: some ten seconds of a busy front, and bounds the work of a test
-
-    def __init__(self, facts: i.Facts):
-        self.need = need = max(1, min(facts.rollout.back_votes, facts.balancers))
-        self.alpha = float(bdtri(need - 1, facts.balancers, 0.95))  # so many of all err with chance 0.05
-        self.floor, self.short = max(self.HINT, -(-self.FLOOR // need)), True
-        # Where the earlier machines go as a stage begins, a bad one costs more than the wait for samples.
-        self.patient = need > 1 and facts.rollout.in_place
-        self.stage_age = facts.rollout.soak_ms + 1000.0  # about when the platform's clock starts (bench page)
-        self.earlier, self.trial = (deque(maxlen=self.KEEP) for _ in range(2))
-        self.pre: list[deque[float]] = [deque(maxlen=100) for _ in facts.routes]
-        self.last, self.told = len(facts.rollout.caps) - 1, False
-        self.counts = np.zeros((3, len(facts.routes), 3))  # trial, earlier, before; route; tries, errors, ms
-        self.offer(-1)
-
-    def offer(self, build: int) -> None:
-        self.build, self.tested, self.verdict = build, -1, Verdict.NONE
-        self.before = list(self.earlier)
-        self.counts[0], self.counts[2] = 0.0, self.counts[1]
-        self.earlier.clear()
-        self.trial.clear()
-        known = all(len(p) >= 5 for p in self.pre)
-        self.covariate = [sum(p) / len(p) if known else 0.0 for p in self.pre]
-
-    def take(self, build: int, route: int, score: float, met: float, ok: bool, on_trial: bool, now: float):
-        sample = (score, self.covariate[route], now, met, ok)
-        (self.trial if build == self.build else self.earlier).append(sample)
-        if not on_trial:
-            self.pre[route].append(score)
-
-    def count(self, t: i.Tally) -> None:
-        row = self.counts[0 if t.build >= self.build > 0 else 1, t.route]
-        row[:] = 0.5 * row + (t.count, t.errors, (t.count - t.errors) * t.mean_ms)
-        self.told = True
-
-    def counted(self, released: bool) -> float:
-        """p that the counted trial is slower or errs more; once released, than before, if our own err too."""
-        known = (self.counts[..., 0] >= 5).all(axis=0)
-        if not known.any():
-            return 1.0
-        n, e, ms = self.counts[:, known].transpose(2, 0, 1)
-        p, done = e / n, np.maximum(n - e, 1.0)
-        noise, ratio = (p * (1 - p) + 0.01) / n, ms[0] / done[0] / (ms[1] / done[1] + 1)
-
-        def z(gap: np.ndarray, var: np.ndarray) -> float:
-            use = np.argsort(gap)  # one route far worse than any other may be slow everywhere
-            use = use[:-1] if gap[use[-1]] > 3 * max([0.05, *gap[use[:-1]]]) else use
-            return float(gap[use] @ n[0, use]) / sqrt(float(var[use] @ n[0, use] ** 2) + 1e-9)
-
-        later = z(p[0] - p[2] - (0.15 if released else 0.1), noise[0] + noise[2])
-        if released:
-            return float(ndtr(-later)) if 2 * sum(not x[4] for x in self.trial) > len(self.trial) > 4 else 1.0
-        worse = z(p[0] - 1.5 * p[1] - 0.05, noise[0] + 2.25 * noise[1])
-        slower = z(ratio - self.LATER, ratio**2 / done[0] + self.LATER**2 / done[1])
-        return float(ndtr(-max(slower, worse, min(later, 4 * worse))))
-
-    LATER = 2.0  # margin across time, as other troubles may have come since; MARGIN if laden
-
-    def judge(self, stage: int, age: float, released: bool, laden: bool = False) -> tuple[Verdict, str]:
-        """The vote for this stage, tested once; each stage age after a release counts as a stage."""
-        if self.told and self.build > 0 and min(len(self.trial), len(self.earlier)) < self.floor:
-            # Exception: a front short of samples goes by the platform's counts, the same for all fronts.
-            self.told, p = False, self.counted(released)
-            if p < 0.001 and self.verdict != Verdict.BACK:  # under 0.05 for a day's counts together
-                self.verdict = Verdict.BACK
-                return self.verdict, f"by the platform's counts, p {p:.4f}"
-        key = -1 - int(age // self.stage_age) if released else stage
-        again = self.verdict == Verdict.HOLD and age >= 2 * self.stage_age
-        if self.verdict == Verdict.BACK or age < self.stage_age:
-            return (Verdict.BACK if self.verdict == Verdict.BACK else Verdict.NONE), ""
-        # Tested once a stage; where several decide, one short of samples votes without and tests later.
-        short = self.need > 1 and min(len(self.trial), len(self.earlier)) < self.floor
-        if self.tested == key and not again and (short or not self.short):
-            return self.verdict, ""
-        if short and self.patient and not released and age < self.YOUNG + self.PATIENCE:
-            return Verdict.NONE, ""  # samples only begin as the stage's machines are no longer young
-        self.tested, self.short = key, short
-        # Exception: against the time before the trial, completed tries only, over the tries met: for a build
-        # that slows all machines (all tell it while laden) or turns bad late. Hurts if they slow otherwise.
-        both = [x for x in self.earlier if laden and not released and self.trial and x[2] >= self.trial[0][2]]
-        recent = sorted(self.scaled([*self.trial, *both]), key=lambda x: x[2])[-self.KEEP // 4 :]
-        sides = (self.before, self.earlier) if released else (self.before,)
-        tests = [self.test(recent, self.scaled(x), self.MARGIN if laden else self.LATER) for x in sides]
-        if not released:
-            # Over the same time, or a spell that only one window holds counts against its build.
-            since = max((side[0][2] for side in (self.trial, self.earlier) if side), default=0.0)
-            now = ([x for x in side if x[2] >= since] for side in (self.trial, self.earlier))
-            tests.append(self.test(*now, self.MARGIN))
-        p, _, text = min(tests) if min(tests)[0] < self.alpha else tests[-1]
-        past = min(t[1] for t in tests[0 if laden else -1 :])
-        # Held once a stage: before a release whenever past the margin, earlier where it is likely so (0.1).
-        doubt = past < (1.0 if stage == self.last else 0.1) and not again
-        onward = Verdict.NONE if released else Verdict.HOLD if doubt else Verdict.ON
-        self.verdict = Verdict.BACK if p < self.alpha else onward
-        return self.verdict, "" if self.verdict == Verdict.NONE else text
-
-    def scaled(self, side: Iterable[Sample]) -> list[Sample]:
-        return [(x[0] / x[3], 0.0, *x[2:]) for x in side if x[4]]
-
-    def test(self, trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, str]:
-        views = [(trial, earlier)]
-        if 10 * sum(not x[4] for x in earlier) > len(earlier):
-            # Exception: where the earlier build errs too, errors are told apart from slowness.
-            views = [tuple([x for x in side if x[4]] for side in (trial, earlier))]
-            views.append(tuple([(float(not x[4]), 0.0) for x in side] for side in (trial, earlier)))
-        results = [(1.0, 1.0, f"{len(trial)} and {len(earlier)} samples")]
-        for a, b in views:
-            if min(len(a), len(b)) >= self.HINT:
-                p, y2, y1 = yuen_cuped(a, b, margin)
-                text = f"trimmed means {y2:.3g} and {y1:.3g}, n {len(a)} and {len(b)}, p {p:.4f}"
-                # Guards against an on to a trial whose few samples are plainly slow.
-                p, full = min(1.0, p * len(views)), min(len(a), len(b)) >= self.floor
-                past = p if y2 > margin * y1 and (full or p < 0.1) else 1.0
-                results.append((p if full else 1.0, past, text))
-        return min(results[1:], default=results[0])
+from myrtleroad.policy.state import Attempt, Past, Server
+from myrtleroad.policy.trial import TrialTest
 
 
 class Balancer:
@@ -201,9 +24,9 @@
 
     def __init__(self, facts: i.Facts, seed: int, now: float):
         self.facts, self.random = facts, Random(seed).random
-        self.machines: dict[int, Machine] = {}  # emptied by the list
-        self.sides: dict[bool, list[Machine]] = {False: [], True: []}  # in service; True: on trial
-        self.judge = Judge(facts)
+        self.machines: dict[int, Server] = {}  # emptied by the list
+        self.sides: dict[bool, list[Server]] = {False: [], True: []}  # in service; True: on trial
+        self.judge = TrialTest(facts)
         self.news = i.StageNews(End.COMPLETED, False, 0, 0, Phase.RELEASED, 0.0, 0.0)
         self.stage, self.stage_at = 0, now  # as we believe; the cap is as last told
         self.share = [0.25 for _ in facts.routes]  # time over objective per route, builds on trial left out
@@ -224,7 +47,7 @@
         self.usual_met, self.newest, self.mean_open = 2.0, 0.0, 0.0
         self.level, self.mean_size = 0.0, 1.0  # reported load beyond our own a size, warm; size of a machine
         self.steps: dict[bool, list[float]] = {}  # sums of the sizes along each side, for draws by size
-        self.young: dict[bool, list[Machine]] = {}  # those of each side that are cold
+        self.young: dict[bool, list[Server]] = {}  # those of each side that are cold
         self.strain = 0.0  # recent times over objectives, by route and how many were seen
         self.fresh = 0  # of them since the last tick
         self.open, self.limit = 0, float("inf")  # tries out on machines that are not apart; most of them
@@ -242,7 +65,7 @@
                 self.judge.offer(row.build)  # the list may be quicker than the news
             known = self.machines.get(row.machine)
             if known is None or known.row.started != row.started or known.row.build != row.build:
-                known = self.machines[row.machine] = Machine(row, out=known.out if known else {})
+                known = self.machines[row.machine] = Server(row, out=known.out if known else {})
             known.row = row
         self.machines = {x: m for x, m in self.machines.items() if m.row.status != Status.GONE or m.out}
         self.regroup()
@@ -370,16 +193,16 @@
             self.front_part = max(1 / self.facts.balancers, self.front_part + 0.03 * (part - self.front_part))
         self.done_cost, self.rate_at, self.arrivals = 0.0, now, 0
 
-    def warmth(self, m: Machine, now: float) -> float:
+    def warmth(self, m: Server, now: float) -> float:
         rules = self.facts.rules
         age = max(0.0, self.age(m, now))
         return min(1.0, rules.cold_share + (1 - rules.cold_share) * age / max(rules.cold_ms, 1.0))
 
-    def age(self, m: Machine, now: float) -> float:
+    def age(self, m: Server, now: float) -> float:
         """How long ago a machine started; inf for long ago."""
         return now + self.start_clock.offset() - m.row.started if m.row.started > 0 else float("inf")
 
-    def cold_room(self, m: Machine, cost: float, now: float) -> bool:
+    def cold_room(self, m: Server, cost: float, now: float) -> bool:
         """Guards a cold machine: our share of multiple x (low) capacity x window, in whole tries by luck."""
         rules, warmth = self.facts.rules, self.warmth(m, now)
         if warmth >= 1.0:
@@ -388,7 +211,7 @@
         budget = rules.overload_factor * warmth * self.rate * rules.fall_ms
         return sum(c for _, c in m.sent) + m.luck * cost < budget
 
-    def draw(self, m: Machine, now: float) -> None:
+    def draw(self, m: Server, now: float) -> None:
         fall = self.facts.rules.fall_ms
         while m.sent and m.sent[0][0] <= now - fall:
             m.sent.popleft()
@@ -399,7 +222,7 @@
             m.luck = self.random() if once or not first else float("inf")
             m.luck_until = now + (float("inf") if once else fall * (self.random() if first else 1.0))
 
-    def owed(self, m: Machine, cost: float, now: float) -> bool:
+    def owed(self, m: Server, cost: float, now: float) -> bool:
         """Whether a cold machine gets our next try: where our part of its work is less than one, by luck.
         Guards against machines that come back and stay empty, as who may send there seldom meets them."""
         self.draw(m, now)
@@ -460,7 +283,7 @@
             score, on_trial = self.facts.routes[event.route].timeout_ms, self.on_trial(m.row.build)
             self.judge.take(m.row.build, event.route, score, 2.0, False, on_trial, now)
 
-    def eject(self, m: Machine, now: float, refused: bool) -> None:
+    def eject(self, m: Server, now: float, refused: bool) -> None:
         # Guards against sick machines and bad links; what all share ejects none, two fifths stay in use.
         peers = self.sides[self.on_trial(m.row.build)]
         level = sorted(p.failing for p in peers)[len(peers) // 4] if peers else 1.0
@@ -472,13 +295,13 @@
         """Whether this route alone is late on every machine: no one's fault, and no queue's."""
         return self.share[r] > 3 * max(self.share[:r] + self.share[r + 1 :], default=1.0)
 
-    def resting(self, machines: Iterable[Machine], now: float) -> int:
+    def resting(self, machines: Iterable[Server], now: float) -> int:
         return sum(m.ejected_until > now for m in machines)
 
-    def size(self, m: Machine) -> float:
+    def size(self, m: Server) -> float:
         return max(m.row.weight, 0.1)
 
-    def expected(self, m: Machine, now: float) -> float:
+    def expected(self, m: Server, now: float) -> float:
         """Expected completion here in units of the usual latency; a silent machine counts as slow."""
         ticks, m.faded = (now - m.faded) / self.TICK, now
         size = self.size(m) * self.warmth(m, now)
@@ -500,7 +323,7 @@
 
     SAMPLE = 12  # machines ranked at most: bounds the work, and fronts alike do not all find the same one
 
-    def best(self, side: bool, rq: i.Req, now: float, past: Past) -> Machine | None:
+    def best(self, side: bool, rq: i.Req, now: float, past: Past) -> Server | None:
         """The best of a few drawn machines; of all, resting and tried ones too, where none of these may."""
         pool = few = self.sides[side]
         if len(pool) > self.SAMPLE:
@@ -517,13 +340,13 @@
         fit = fit or [m for m in pool if self.may_take(m, rq, now, past)]
         return min(fit, key=lambda m: self.expected(m, now) * (1 + 0.05 * self.random()), default=None)
 
-    def listed_open(self, m: Machine, now: float) -> bool:
+    def listed_open(self, m: Server, now: float) -> bool:
         """Whether a machine may be sent something new, by the list and by how old it is."""
         if m.row.status != Status.IN_SERVICE:
             return False
         return self.lease is None or self.lease.allows(now, m.served_at)
 
-    def pick(self, rq: i.Req, now: float, past: Past) -> Machine | None:
+    def pick(self, rq: i.Req, now: float, past: Past) -> Server | None:
         """The machine for the next try: the build on trial while under 0.8 of its cap, else the earlier."""
         if self.credit >= 1 and not self.slow(rq.route) and (cand := self.best(True, rq, now, past)):
             usual, fronts = self.sides[False], self.facts.balancers  # they are taken to send alike
@@ -546,7 +369,7 @@
         part = 1 + (self.PART - 1) * calm
         self.part = min(0.8 * self.cap(self.sides[True][-1].row.build)[0], part * size[1] / sum(size))
 
-    def may_take(self, m: Machine, rq: i.Req, now: float, past: Past) -> bool:
+    def may_take(self, m: Server, rq: i.Req, now: float, past: Past) -> bool:
         if not self.listed_open(m, now) or not self.cold_room(m, self.usual[rq.route], now):
             return False
         if self.on_trial(m.row.build):
@@ -596,7 +419,7 @@
         timely = 0.6 + 0.4 * route.late_benefit if self.usual[r] - more > route.objective_ms else 1.0
         return self.limit * (0.7 + 0.3 * self.worthy(rq, now)) * timely
 
-    def apart(self, m: Machine) -> bool:
+    def apart(self, m: Server) -> bool:
         """Whether a machine is on trial beside a fleet that is not: its hanging must not close the door."""
         return self.on_trial(m.row.build) and len(self.sides[True]) < len(self.sides[False])
 
@@ -650,12 +473,12 @@
             cost = float(ended.end not in (End.NOT_CONNECTED, End.MOOT))  # which cost the machine little
         yield self.refuse(rq, past)
 
-    def sent(self, rq: i.Req, m: Machine, number: int, now: float) -> Try:
+    def sent(self, rq: i.Req, m: Server, number: int, now: float) -> Attempt:
         # Exception: where the told warm-up outlasts 3 s, a cold machine makes a good build look slow.
-        judged = self.age(m, now) >= max(Judge.YOUNG, self.facts.rules.cold_ms)
+        judged = self.age(m, now) >= max(TrialTest.YOUNG, self.facts.rules.cold_ms)
         met = len(m.out) + max(0.0, m.others) + 2
         self.usual_met += 0.02 * (met - self.usual_met)
-        t = m.out[rq.ident, number] = Try(rq.route, now, self.usual[rq.route], judged, rq.key, met)
+        t = m.out[rq.ident, number] = Attempt(rq.route, now, self.usual[rq.route], judged, rq.key, met)
         self.open += not self.apart(m)
         if self.warmth(m, now) < 1:
             m.sent.append((now, t.cost))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,9 +5,9 @@
 import pytest
 from gevent import socket
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.net import told
+from myrtleroad.policy.balancer import Balancer
 
 
 def build_facts(**changes):
@@ -68,7 +68,7 @@
 @pytest.fixture
 def balancer():
     """A balancer at time 0 with three machines of build 1, released."""
-    b = choice.Balancer(build_facts(), 7, 0.0)
+    b = Balancer(build_facts(), 7, 0.0)
     b.stage_news(news(), 0.0)
     b.listed(i.Listed(i.ListKind.WHOLE, [row(0), row(1), row(2, zone=1)]), 0.0)
     return b
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -4,16 +4,16 @@
 from conftest import build_facts
 from scipy.stats import ttest_ind
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.interface import Verdict
+from myrtleroad.policy.trial import TrialTest, yuen_cuped
 
 
 def test_without_covariate_it_is_yuens_test():
     draw = random.Random(3)
     a = [draw.lognormvariate(0.2, 1) for _ in range(230)]
     b = [draw.lognormvariate(0.0, 1) for _ in range(310)]
-    p, y2, y1 = choice.yuen_cuped([(v, 0.0) for v in a], [(v, 0.0) for v in b], 1.0)
+    p, y2, y1 = yuen_cuped([(v, 0.0) for v in a], [(v, 0.0) for v in b], 1.0)
     assert p == pytest.approx(ttest_ind(a, b, equal_var=False, trim=0.01, alternative="greater").pvalue)
     assert y2 > y1
 
@@ -24,20 +24,20 @@
         for side in ((6.0, 6.0, 9.0), (2.0, 2.0, 5.0))
     )
     # h(h-1) = 6; sums of squares: y 6, x 2, xy 3; theta 3/2; variance each (6 + 2.25*2 - 3*3)/6 = 0.25
-    p, y2, y1 = choice.yuen_cuped(trial, earlier, 1.0)
+    p, y2, y1 = yuen_cuped(trial, earlier, 1.0)
     assert (y2, y1) == (7.0, 3.0)
     # t = 4 / sqrt(0.5) on 4 degrees of freedom: with x = t / sqrt(4 + t^2), p = 1/2 - x/2 (1 + (1 - x^2)/2)
     assert p == pytest.approx(0.00240634, rel=1e-5)
 
 
 def test_zero_variance_decides_by_the_gap():
-    assert choice.yuen_cuped([(5.0, 0.0, 0.0, 2.0)] * 4, [(2.0, 0.0, 0.0, 2.0)] * 4, 1.3)[0] == 0.0
-    assert choice.yuen_cuped([(2.0, 0.0, 0.0, 2.0)] * 4, [(2.0, 0.0, 0.0, 2.0)] * 4, 1.3)[0] == 1.0
+    assert yuen_cuped([(5.0, 0.0, 0.0, 2.0)] * 4, [(2.0, 0.0, 0.0, 2.0)] * 4, 1.3)[0] == 0.0
+    assert yuen_cuped([(2.0, 0.0, 0.0, 2.0)] * 4, [(2.0, 0.0, 0.0, 2.0)] * 4, 1.3)[0] == 1.0
 
 
 @pytest.fixture
 def judge():
-    judge = choice.Judge(build_facts())
+    judge = TrialTest(build_facts())
     judge.offer(2)
     return judge
 
@@ -149,7 +149,7 @@
 
 @pytest.fixture
 def starved():
-    judge = choice.Judge(build_facts())
+    judge = TrialTest(build_facts())
     tell(judge, 1, (0, 0, 0))
     judge.offer(2)
     return judge
@@ -212,7 +212,7 @@
 
 def many(trial, earlier=30, slow=900.0):
     """The judge of one of 200 fronts, 16 of which send a build back, with so many samples."""
-    judge = choice.Judge(build_facts(balancers=200, roll={"back_votes": 16, "in_place": True}))
+    judge = TrialTest(build_facts(balancers=200, roll={"back_votes": 16, "in_place": True}))
     judge.offer(2)
     for n in range(earlier):
         give(judge, 1, 100.0 + 3 * (n % 20), n)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,9 +4,10 @@
 import pytest
 from conftest import build_facts, news, req, row
 
-from myrtleroad import choice
 from myrtleroad import interface as i
 from myrtleroad.membership.lease import ListLease, Terms
+from myrtleroad.policy.balancer import Balancer
+from myrtleroad.policy.state import Attempt
 
 
 def ended(machine, end, number=0, took=50.0):
@@ -27,7 +28,7 @@
 
 
 def test_deduped_stays_in_its_group_and_window(balancer):
-    past = [(balancer.machines[0], choice.Try(1, 0.0, 1.0, False, None, 1.0), True)]
+    past = [(balancer.machines[0], Attempt(1, 0.0, 1.0, False, None, 1.0), True)]
     assert balancer.may_take(balancer.machines[1], req(route=1), 100.0, past)
     assert not balancer.may_take(balancer.machines[2], req(route=1), 100.0, past)
     assert not balancer.may_take(balancer.machines[1], req(route=1), 2600.0, past)
@@ -64,7 +65,7 @@
 def test_small_fronts_together_keep_a_cold_machines_budget():
     shares = []
     for seed in range(200):
-        b = choice.Balancer(build_facts(), seed, 0.0)
+        b = Balancer(build_facts(), seed, 0.0)
         b.listed(i.Listed(i.ListKind.WHOLE, [row(0, started=900.0)]), 900.0)
         b.rate = 0.01  # room for a tenth of a try
         b.machines[0].luck, b.machines[0].luck_until = b.random(), 1e9
@@ -200,7 +201,7 @@
     balancer.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=0.5), 0.0)
     balancer.listed(i.Listed(i.ListKind.CHANGES, [row(3, build=2)]), 0.0)
     for n in range(9):
-        balancer.machines[3].out[n, 0] = choice.Try(0, 0.0, 1.0, False, None, 1.0)
+        balancer.machines[3].out[n, 0] = Attempt(0, 0.0, 1.0, False, None, 1.0)
     balancer.limit = 4.0
     balancer.regroup()
     assert isinstance(next(balancer.serve(req(), 0.0)), i.Send)
@@ -230,7 +231,7 @@
     balancer.credit = 2.0
     assert balancer.pick(req(), 0.0, []).row.machine == 3
     for n in range(3):
-        balancer.machines[3].out[n, 0] = choice.Try(0, 0.0, 1.0, False, None, 1.0)
+        balancer.machines[3].out[n, 0] = Attempt(0, 0.0, 1.0, False, None, 1.0)
     assert balancer.pick(req(), 0.0, []).row.machine != 3
 
 
@@ -258,7 +259,7 @@
 
 def test_a_machine_that_answers_full_again_and_again_rests_longer(balancer):
     for n in range(4):
-        balancer.machines[0].out[n, 0] = choice.Try(0, 0.0, 1.0, False, None, 2.0)
+        balancer.machines[0].out[n, 0] = Attempt(0, 0.0, 1.0, False, None, 2.0)
         balancer.observe(n, ended(0, i.End.FULL), 0.0)
     assert balancer.machines[0].ejected_until >= 2000.0
 
@@ -278,7 +279,7 @@
 
 def end(b, machine, how, number, took=50.0, route=0):
     """One more try on a machine comes to this end."""
-    b.machines[machine].out[number, 0] = choice.Try(route, 0.0, 1.0, True, None, 2.0)
+    b.machines[machine].out[number, 0] = Attempt(route, 0.0, 1.0, True, None, 2.0)
     b.open += 1
     b.observe(number, ended(machine, how, took=took), took)
 
@@ -342,7 +343,7 @@
 
 
 def reported(balancer, machine, load, ident, at=100.0):
-    balancer.machines[machine].out[ident, 0] = choice.Try(0, 0.0, 1.0, True, None, 2.0)
+    balancer.machines[machine].out[ident, 0] = Attempt(0, 0.0, 1.0, True, None, 2.0)
     balancer.observe(ident, i.Ended(machine, 0, i.End.COMPLETED, 50.0, load, True), at)
 
 
@@ -351,7 +352,7 @@
     m = balancer.machines[0]
     for n in range(200):
         for k in range(4 if n % 2 else 0):
-            m.out[k, 1] = choice.Try(0, 0.0, 1.0, True, None, 2.0)
+            m.out[k, 1] = Attempt(0, 0.0, 1.0, True, None, 2.0)
         reported(balancer, 0, 0.0 if n % 2 else 4.0, 100 + n)  # told of the time before
         for k in range(4):
             m.out.pop((k, 1), None)
@@ -359,7 +360,7 @@
 
 
 def test_a_machine_not_heard_of_is_taken_to_hold_what_machines_of_its_size_report():
-    b = choice.Balancer(build_facts(balancers=200, load_column=0), 7, 0.0)
+    b = Balancer(build_facts(balancers=200, load_column=0), 7, 0.0)
     sized = [replace(row(n), weight=3.0 + n % 2) for n in range(30)]
     b.listed(i.Listed(i.ListKind.WHOLE, sized), 0.0)
     for n in range(29):
@@ -377,7 +378,7 @@
     # Guards against what is harmless in one front: all prefer the large ones, which then have no room.
     sizes, loads = {n: 3.0 + n % 2 for n in range(100)}, dict.fromkeys(range(100), 0)
     for seed in range(300):
-        b = choice.Balancer(build_facts(balancers=300, load_column=0), seed, 0.0)
+        b = Balancer(build_facts(balancers=300, load_column=0), seed, 0.0)
         b.stage_news(news(), 0.0)
         b.listed(i.Listed(i.ListKind.WHOLE, [replace(row(n), weight=w) for n, w in sizes.items()]), 0.0)
         b.level = held
@@ -392,10 +393,10 @@
     for n in range(60):
         reported(balancer, 0, None, 10 + n)
     pace = m.pace
-    m.out[2, 0] = choice.Try(0, 100.0, 1.0, True, None, 2.0)
+    m.out[2, 0] = Attempt(0, 100.0, 1.0, True, None, 2.0)
     balancer.observe(2, i.Ended(0, 0, i.End.COMPLETED, 5000.0, None, True), 5100.0)
     assert m.pace < pace + 0.15
-    m.out[3, 0], m.linked = choice.Try(0, 5100.0, 1.0, True, None, 2.0), 9000.0
+    m.out[3, 0], m.linked = Attempt(0, 5100.0, 1.0, True, None, 2.0), 9000.0
     answering = balancer.expected(m, 9001.0)
     m.linked = 5000.0
     assert balancer.expected(m, 9001.0) > 5 * answering
@@ -440,7 +441,7 @@
 
 @pytest.mark.parametrize(("counts", "busy"), [(0.0, [1.35, 1.175, 1.0, 1.0]), (2000.0, [1.35] * 4)])
 def test_the_trials_extra_part_falls_with_the_strain_where_no_counts_come(counts, busy):
-    b = choice.Balancer(build_facts(roll={"counts_every_ms": counts}), 7, 0.0)
+    b = Balancer(build_facts(roll={"counts_every_ms": counts}), 7, 0.0)
     b.stage_news(news(2, 1, i.Phase.ON_TRIAL, cap=1.0), 0.0)
     b.listed(i.Listed(i.ListKind.WHOLE, [row(0), row(1), row(2), row(3, build=2)]), 0.0)
     parts = []
@@ -472,7 +473,7 @@
 def fleet(fronts, machines, started=0.0, **changes):
     """Fronts of one fleet, each with the same list, of which the last ``started`` machines are new."""
     facts = build_facts(balancers=fronts, load_column=0, **changes)
-    made = [choice.Balancer(facts, seed, 0.0) for seed in range(fronts)]
+    made = [Balancer(facts, seed, 0.0) for seed in range(fronts)]
     for b in made:
         b.stage_news(news(), 0.0)
         b.listed(i.Listed(i.ListKind.WHOLE, [row(n) for n in range(machines)]), 0.0)
@@ -500,7 +501,7 @@
 @pytest.mark.parametrize(("fronts", "per_s"), [(200, 0.35), (20, 3.5)])
 def test_a_tenant_within_its_share_is_not_over_it_by_chance(fronts, per_s):
     tenants = (i.Tenant(0.5, 0.5 * 200), i.Tenant(0.5, 0.5 * 200))
-    b = choice.Balancer(build_facts(balancers=fronts, tenants=tenants, over_share_benefit=0.2), 7, 0.0)
+    b = Balancer(build_facts(balancers=fronts, tenants=tenants, over_share_benefit=0.2), 7, 0.0)
     chance, now, over = Random(3).expovariate, 0.0, 0
     for n in range(400):
         now += chance(per_s) * 1000
@@ -510,7 +511,7 @@
 
 def test_a_front_with_five_times_its_part_of_the_traffic_has_as_much_of_the_quota():
     tenants = (i.Tenant(1.0, 200.0),)
-    b = choice.Balancer(build_facts(balancers=200, tenants=tenants, over_share_benefit=0.2), 7, 0.0)
+    b = Balancer(build_facts(balancers=200, tenants=tenants, over_share_benefit=0.2), 7, 0.0)
     over = 0
     for n in range(1000):  # five a second for 200 s
         now = 200.0 * n
