Hard cases of the soak: 500 open at SIGTERM, ENFILE, clocks in mid-drain, three SIGHUPs

A stand-in client no longer sends on a kept connection that has ended, and a request whose second connection nobody accepts is not counted as taken: found by the 500, whose late requests met a process that had ended in order.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,6 +1,7 @@
 """Stand-in clients: they keep connections, send one request at a time on each, give up and leave, and record
 how each request ended."""
 
+import select
 from collections import defaultdict
 from random import Random
 from time import monotonic
@@ -26,6 +27,12 @@
         self.reader = Reader(self.sock, monotonic)
         self.used = False
 
+    def ended(self) -> bool:
+        """Whether the other side has closed it, so that nothing may be sent on it any more."""
+        waiting = select.poll()
+        waiting.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return bool(waiting.poll(0))
+
     def close(self) -> None:
         self.sock.close()
 
@@ -55,8 +62,11 @@
 
     def connection(self, front: Front) -> Connection | None:
         pool = self.idle[front.name]
-        if pool:
-            return pool.pop()
+        while pool:
+            kept = pool.pop()
+            if not kept.ended():
+                return kept
+            kept.close()
         try:
             return Connection(front.at)
         except OSError:
@@ -80,11 +90,11 @@
             request.front_killed = True
         if request.new_connection or request.front_killed:
             return
+        request.resent = True
         try:
             connection = Connection(front.at)
         except OSError:
-            return
-        request.resent = True
+            return  # nobody accepts any more, so nobody has taken it
         self.send(front, connection, txn, safe)
 
     def send(self, front: Front, connection: Connection, txn: str, safe: bool) -> Outcome:
--- a/tests/test_soak_calls.py
+++ b/tests/test_soak_calls.py
@@ -88,6 +88,18 @@
         assert play.finish() == []
 
 
+def test_no_descriptor_for_two_seconds_at_accept_with_whole_requests_waiting():
+    with Play(Deployment(fronts=2, servers=3, deadline_s=4.0), rate=10.0, shim=True) as play:
+        play.run_until(0.5)
+        for front in play.fronts:
+            play.clients.idle[front.name].clear()
+        each(play, "fail", Call.ACCEPT, errno.ENFILE)
+        play.run_until(2.5)
+        each(play, "mend")
+        play.run_until(4.0)
+        assert play.finish() == []
+
+
 @pytest.mark.parametrize("error", [errno.EPIPE, errno.ENOSPC, errno.EIO])
 def test_a_log_that_cannot_be_written_costs_answers_or_an_orderly_end(error):
     with Play(Deployment(fronts=2, servers=3), rate=20.0, shim=True) as play:
@@ -145,3 +157,29 @@
         each(play, "mend")
         play.run_until(4.0)
         assert play.finish() == []
+
+
+@pytest.mark.parametrize("step_s", [-HOUR_S, HOUR_S])
+def test_a_wall_clock_that_steps_in_mid_drain_reopens_servers(step_s):
+    with Play(Deployment(fronts=3, servers=6), rate=15.0, shim=True) as play:
+        play.run_until(1.0)
+        play.drain("s-000", "s-001")
+        play.run_until(1.1)
+        each(play, "step_wall_clock", step_s)
+        play.run_until(2.0)
+        play.discovery.reset_watches()
+        play.run_until(5.0)
+        assert play.finish() == []
+
+
+def test_a_start_with_discovery_down_and_the_clock_wrong():
+    play = Play(Deployment(fronts=3, servers=6), rate=10.0, shim=True)
+    each(play, "step_wall_clock", -HOUR_S)
+    play.discovery.go_down()
+    play.later(8.0, play.discovery.come_back)
+    with play:
+        assert all(front.ready for front in play.fronts)
+        play.drain("s-000")
+        play.run_until(14.0)
+        assert play.finish() == []
+    assert outcomes(play, 12.0)[Outcome.SERVED] > 0
--- a/tests/test_soak_signals.py
+++ b/tests/test_soak_signals.py
@@ -84,3 +84,33 @@
         play.run_until(9.0)
         assert all(front.ready for front in play.fronts)
         assert play.finish() == []
+
+
+def test_three_sighups_in_50_ms_with_moved_addresses():
+    with Play(Deployment(fronts=3, servers=6), rate=10.0) as play:
+        play.run_until(1.5)
+        for _ in range(3):
+            for front in play.fronts:
+                play.configure(front)
+                front.signal(signal.SIGHUP)
+            gevent.sleep(0.025)
+        play.run_until(2.0)
+        play.drain("s-000", "s-001")
+        play.run_until(5.0)
+        assert {watch.front for watch in play.discovery.watches} == {"n0", "n1", "n2"}
+        assert play.finish() == []
+
+
+def test_five_hundred_open_at_sigterm():
+    deployment = Deployment(fronts=1, servers=4, sockets=2048, deadline_s=6.0)
+    with Play(deployment, rate=5.0) as play:
+        slow(play, 1.0)
+        play.run_until(0.5)
+        (front,) = play.fronts
+        for _ in range(500):
+            play.clients.spawn(front)
+        gevent.sleep(0.2)
+        front.signal(signal.SIGTERM)
+        play.run_until(8.0)
+        assert play.finish() == []
+        assert len(play.records.requests) >= 400
