A request is checked and timed anew until the system takes its first byte

Cause: exchange checked and wrote the head once, then waited in the write. Change: a first write that never waits, with check and head made anew before each try; what is left of a write has the attempt's time.

--- a/myrtleroad/net/head.py
+++ b/myrtleroad/net/head.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 heads: parsed in place by httptools, written by gathered writes."""
 
 import errno
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -298,14 +299,17 @@
     return b"".join(parts)[sent:] if sent < sum(map(len, parts)) else b""
 
 
-def write_all(sock: socket.socket, data: bytes) -> None:
-    """Writes everything, however long the system lacks buffers; whoever calls bounds the time."""
+def write_all(sock: socket.socket, data: bytes, within_s: float = math.inf) -> None:
+    """Writes everything, as the system has buffers for it. Raises TimeoutError past ``within_s``."""
+    end = time.monotonic() + within_s
     while data:
         try:
             data = data[sock.send(data) :]
         except OSError as error:
             if error.errno not in PASSING:
                 raise
+            if time.monotonic() >= end:
+                raise TimeoutError("timed out") from None
             gevent.sleep(PAUSE_S)
 
 
--- a/myrtleroad/net/machine.py
+++ b/myrtleroad/net/machine.py
@@ -246,19 +246,32 @@
         self.counters.add("machine_connections")
         return Link(sock, start, self.share, self.clock())
 
-    def exchange(self, job: Job, link: Link) -> Answer | Broken:
-        reach, sock = Reach.CONNECTED, link.sock
-        try:
+    def begin(self, job: Job, sock: socket.socket) -> Broken | None:
+        """Writes the request; what kept it from being written, or None.
+
+        What the module decided on may hold no more by the time that the system takes the first byte: a
+        connection came up slowly, a buffer was full, the process was held. So both the check and the time
+        told are made anew before each try to write."""
+        while True:
             left = job.ends_at - self.clock()
             if left < 1:
                 return LATE
-            sock.settimeout(left / 1000)
             parts = head.forwarded(job.message, max(1, int(left - TRANSIT_MS)))
-            # Guards against a machine that drained, restarted or moved, or a cap that fell, while the
-            # connection was coming up or the process was held: what the module decided on no longer holds.
             if not self.stands(job):
                 return UNSENT
-            head.write(sock, parts)
+            rest = head.write_now(sock, parts)
+            if len(rest) < sum(map(len, parts)):
+                break
+            gevent.sleep(head.PAUSE_S)
+        sock.settimeout(left / 1000)
+        head.write_all(sock, rest, left / 1000)
+        return None
+
+    def exchange(self, job: Job, link: Link) -> Answer | Broken:
+        reach, sock = Reach.CONNECTED, link.sock
+        try:
+            if (unsent := self.begin(job, sock)) is not None:
+                return unsent
             reach = Reach.WRITTEN
             answers = link.answers
             answers.reset()
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -52,6 +52,7 @@
         self.some = Event()
         self.watches: list[Watch] = []  # emptied as each ends
         self.ports: dict[str, socket.socket] = {}
+        self.sent_bytes = 0  # of lists
         self.crowd_until = 0.0  # until then others' calls fill the queue
         for name in servers:
             self.note(name)
@@ -221,6 +222,7 @@
         try:
             watch.sock.settimeout(1.0)
             watch.sock.sendall(chunk(line))
+            self.sent_bytes += len(line)
         except OSError:
             self.end(watch)
             return
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -27,6 +27,7 @@
         self.host, self.mode = host, Mode.SERVING
         self.started_ms = 0  # Unix time of the last start, 0 for long ago
         self.work_s = 0.02
+        self.accepted = 0  # connections that it has taken
         self.connections: set[socket.socket] = set()  # emptied as each closes
         self.sock = listener(host)
         self.address = address(self.sock)
@@ -39,6 +40,7 @@
                 reset(sock)
                 continue
             self.connections.add(sock)
+            self.accepted += 1
             gevent.spawn(self.serve, sock)
 
     def serve(self, sock: socket.socket) -> None:
--- a/soak/shim.py
+++ b/soak/shim.py
@@ -34,7 +34,8 @@
     WRITE_FILE = 12
 
 
-# Each way that the man pages name and that a process can meet on a socket or file that is in order.
+# Each way that the man pages name and that a process can meet on a socket or file that is in order. Where the
+# system says that a connection was reset or timed out, it is so: stand-ins bring that about by a real reset.
 ERRORS: dict[Call, tuple[int, ...]] = {
     Call.ACCEPT: (errno.ECONNABORTED, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
     Call.SOCKET: (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
@@ -49,8 +50,8 @@
         errno.ETIMEDOUT,
     ),
     Call.SETSOCKOPT: (errno.EINVAL, errno.ENOBUFS, errno.ENOMEM),
-    Call.RECEIVE: (errno.EAGAIN, errno.ECONNRESET, errno.EINTR, errno.ENOMEM, errno.ETIMEDOUT),
-    Call.SEND: (errno.EAGAIN, errno.ECONNRESET, errno.EINTR, errno.ENOBUFS, errno.EPIPE),
+    Call.RECEIVE: (errno.EAGAIN, errno.EINTR, errno.ENOMEM),
+    Call.SEND: (errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM),
     Call.LOG: (errno.EAGAIN, errno.EINTR, errno.EIO, errno.ENOSPC, errno.EPIPE),
     Call.POLL: (errno.EINTR, errno.ENOMEM),
     Call.EPOLL: (errno.EINTR,),
--- a/tests/test_soak_calls.py
+++ b/tests/test_soak_calls.py
@@ -183,3 +183,15 @@
         play.run_until(14.0)
         assert play.finish() == []
     assert outcomes(play, 12.0)[Outcome.SERVED] > 0
+
+
+def test_a_send_that_waits_for_buffers_goes_out_by_the_list_and_the_time_of_before():
+    with Play(Deployment(fronts=3, servers=4), rate=15.0, shim=True) as play:
+        play.run_until(1.0)
+        each(play, "fail", Call.SEND, errno.EAGAIN)
+        play.run_until(1.1)
+        play.drain("s-000", "s-001")
+        play.run_until(1.8)
+        each(play, "mend")
+        play.run_until(3.0)
+        assert play.finish() == []
