--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -73,6 +73,7 @@
                 "connect_timeout": 250 * NS_PER_MS,
                 "idle_close": int(self.idle_close_s * NS_PER_S),
             },
+            "prices": {"handshake": 0.08},
             "registry_mode": "pushed" if self.pushed else "on_request",
             "report": {"columns": ["active"]},
         }
