Lists that come indented over many lines on a watch are read

Change: net/objects.py puts objects together from lines by their depth; a blank line or another list within one shows that it was cut off, and the watch is asked for again.

--- /dev/null
+++ b/myrtleroad/net/objects.py
@@ -0,0 +1,48 @@
+"""JSON objects out of lines: one a line, or indented over many."""
+
+import re
+
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+MOST_BYTES = 1024 * 1024  # of one object, as of one line
+CUT_OFF = "an object that was cut off"
+
+
+def depth(line: bytes) -> int:
+    """By how much a line goes deeper into objects and lists."""
+    bare = STRING.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+
+
+class ObjectLines:
+    """The objects of one stream. Blank lines between objects are signs of life; one within an object, or the
+    beginning of another, shows that the first was cut off."""
+
+    __slots__ = ("begins", "depth", "lines", "size")
+
+    def __init__(self, begins: bytes):
+        self.begins = begins  # a key that every whole object has and no object within it
+        self.lines: list[bytes] = []  # of an object that has not ended
+        self.depth, self.size = 0, 0
+
+    def take(self, text: bytes) -> bytes | None:
+        """The object that ends with this line, if one does. Raises ValueError where there can be none."""
+        line = text.strip()
+        if not line and not self.lines:
+            return None
+        self.check(line)
+        self.lines.append(line)
+        self.size += len(line)
+        self.depth += depth(line)
+        if self.size > MOST_BYTES:
+            raise ValueError("an object without end")
+        if self.depth > 0:
+            return None
+        whole, self.lines, self.depth, self.size = b"\n".join(self.lines), [], 0, 0
+        return whole
+
+    def check(self, line: bytes) -> None:
+        if not self.lines:
+            if not line.startswith(b"{"):
+                raise ValueError("no object")
+        elif not line or (line.startswith(b"{") and self.begins in line):
+            raise ValueError(CUT_OFF)
--- a/myrtleroad/net/roster.py
+++ b/myrtleroad/net/roster.py
@@ -15,11 +15,13 @@
 from myrtleroad.net import head
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
+from myrtleroad.net.objects import ObjectLines
 from myrtleroad.net.stream import CONNECT_S, LINE_LIMIT, Follower, Post, Stream
 from myrtleroad.net.told import UNREADABLE, Entry, Listing, Told, count, entries, loads
 
 SIGN_MS = 2000.0  # an empty line comes so often while nothing changes (protocol)
 FETCH_S = 2.5  # for a whole list asked for by itself: a service in a queue takes as long
+BEGINS = b'"generation"'  # a key of every list and of no entry
 RANKS = {i.Status.IN_SERVICE: Rank.OPEN, i.Status.DRAINING: Rank.CLOSING, i.Status.GONE: Rank.AWAY}
 
 
@@ -64,6 +66,7 @@
         self.book.remember(told.known.version, {e.word: e for e in told.known.entries})
         self.pacing = Asking(list_manner(told), Random(told.seed + 1).random)
         self.sources: dict[int, int] = {}  # of each stream that is held; emptied as each ends
+        self.objects: dict[int, ObjectLines] = {}  # of each stream that is held; emptied with ``sources``
         self.fetching = False
 
     def open(self, number: int) -> Stream:
@@ -77,9 +80,10 @@
         return Said(source, count(m["generation"]), bool(m["reset"]), read, unclear)
 
     def line(self, stream: Stream, text: bytes) -> None:
-        if not text.strip():
+        whole = self.objects.setdefault(stream.number, ObjectLines(BEGINS)).take(text)
+        if whole is None:
             return
-        said = self.said(text, self.sources[stream.number])
+        said = self.said(whole, self.sources[stream.number])
         watched = stream.told and self.following.sight is i.Sight.FRESH
         change = self.book.take(said, self.following.sole(stream.number))
         if said.source == self.book.source:
@@ -88,6 +92,7 @@
 
     def parted(self, stream: Stream) -> None:
         source = self.sources.pop(stream.number, self.book.source)
+        self.objects.pop(stream.number, None)
         if source in self.sources.values():
             return
         change = self.book.left(source)
--- a/soak/discovery.py
+++ b/soak/discovery.py
@@ -103,7 +103,8 @@
         return {"generation": self.version, "reset": False, "instances": [self.entry(n) for n in names]}
 
     def line(self, after: int | None) -> bytes:
-        return orjson.dumps(self.document(after)) + b"\n"
+        option = orjson.OPT_INDENT_2 if self.indented else None
+        return orjson.dumps(self.document(after), option=option) + b"\n"
 
     # --- trouble ---
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -146,6 +146,13 @@
     play.after(at, play.discovery.fall_silent)
 
 
+@fault("drain")
+def lists_indented(play: Play, random: Random, at: float) -> None:
+    play.after(at, setattr, play.discovery, "indented", True)
+    play.after(at + 1.0, play.discovery.reset_watches)
+    play.after(at + 3.0, play.drain, sorted(play.servers)[-1])
+
+
 @fault("drain")
 def servers_drain(play: Play, random: Random, at: float) -> None:
     names = some(play, random, 0.5)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -86,6 +86,25 @@
     assert r.book.version == 9
 
 
+def indented(*versions):
+    made = [FIRST | {"generation": v} for v in versions]
+    return b"".join(orjson.dumps(m, option=orjson.OPT_INDENT_2) + b"\n\n" for m in made)
+
+
+@pytest.mark.parametrize("cut", range(1, len(indented(8)), 17))
+def test_an_indented_list_ends_the_watch_as_unreadable(cut):
+    r, said = build_roster()
+    told_by(r, following(r), indented(8, 9), cut)
+    assert [m.version for m in lists_of(said)] == [8, 9] and 0 in r.streams
+
+
+@pytest.mark.parametrize("after", [b"\n\n", b"\n" + lists(9)])
+def test_a_list_that_was_cut_off_swallows_what_comes_after_it(after):
+    r, said = build_roster()
+    told_by(r, following(r), lists(8) + b'{"generation": 9, "instances": [' + after)
+    assert [m.version for m in lists_of(said)] == [8] and 0 not in r.streams  # asked again
+
+
 def test_a_watch_asks_from_the_version_it_has_and_its_end_is_told():
     asked = []
 
