After a move the list's lease ends in four seconds unless the new address has told

The old watch stands on for a while and signs of life on it kept the lease for six seconds more, though it tells no change any more. Change: ListLease.moved and arrived; of several moves the first that nothing followed counts, and servers that have shown they serve are believed for the grace alone after it. Test in tests/test_membership.py.

--- a/myrtleroad/membership/following.py
+++ b/myrtleroad/membership/following.py
@@ -97,6 +97,8 @@
             return []
         s.heard = now
         s.told = now if s.told is None else s.told
+        if self.lease is not None and s.source == self.source:
+            self.lease.arrived()
         acts: list[Act] = [self.close(n, "another one tells") for n in self.streams if n < stream]
         for act in acts:
             del self.streams[act.stream]
@@ -115,6 +117,8 @@
         has told something. Guards against a word lost between the two, and against a pause begun before."""
         self.source += 1
         self.wanted = True
+        if self.lease is not None:
+            self.lease.moved(now)
         # Guards against a row of moves: of what was left only what has told something is still read.
         telling = [n for n, x in self.streams.items() if x.told is not None]
         left = [n for n in self.streams if n not in telling[-1:]]
--- a/myrtleroad/membership/lease.py
+++ b/myrtleroad/membership/lease.py
@@ -12,8 +12,10 @@
 from myrtleroad.interface import Facts
 
 NEVER = float("-inf")
+NO_MOVE = float("inf")
 TOLD_MS = 6000.0  # a change counts as told so long after discovery had it, whether or not it arrived
 HOLD_MS = 150.0  # a front may be held so long between reading its clock and writing
+MOVED_MS = 4000.0  # after a new address what is told there counts as told so long after the move (protocol)
 START_MS = 5000.0  # for the first list; restarted fronts have to be ready within 6 s
 
 
@@ -25,6 +27,7 @@
     bound_ms: float
     silent_bound_ms: float
     pushed: bool
+    margin_ms: float = 0.0  # of the drain grace, less what a front may be held
 
     @classmethod
     def of(cls, facts: Facts) -> "Terms":
@@ -34,13 +37,14 @@
             bound_ms=margin if not facts.list_on_request else told + margin,
             silent_bound_ms=TOLD_MS + margin,
             pushed=not facts.list_on_request,
+            margin_ms=margin,
         )
 
 
 class ListLease:
     """One front's lease. ``followed``, ``lost`` and ``waits`` are told by whoever follows discovery."""
 
-    __slots__ = ("confirmed_at", "covered_until", "is_followed", "is_waiting", "lost_at", "terms")
+    __slots__ = ("confirmed_at", "covered_until", "is_followed", "is_waiting", "lost_at", "move_by", "terms")
 
     def __init__(self, terms: Terms):
         self.terms = terms
@@ -49,6 +53,7 @@
         self.covered_until = NEVER  # connections made until then lead to the processes that the list names
         self.is_followed = False
         self.is_waiting = False
+        self.move_by = NO_MOVE  # by when the address that holds now must have told something
 
     def followed(self, heard_at: float) -> None:
         """A stream that has told something stands; everything told up to ``heard_at`` has come."""
@@ -62,12 +67,22 @@
             self.is_followed, self.lost_at = False, now
             self.covered_until = self.confirmed_at if was_silent else now
 
+    def moved(self, now: float) -> None:
+        """Another address holds from now on; of several moves the first that nothing followed counts."""
+        self.move_by = min(self.move_by, now + MOVED_MS + self.terms.margin_ms)
+
+    def arrived(self) -> None:
+        """The address that holds now has told something."""
+        self.move_by = NO_MOVE
+
     def waits(self, waiting: bool) -> None:
         """Whether a call for the list stands unanswered."""
         self.is_waiting = waiting
 
     def holds(self, now: float) -> bool:
         """Whether the list as a whole may be acted on."""
+        if now > self.move_by:
+            return False
         if self.is_followed:
             return now <= self.confirmed_at + self.terms.silent_bound_ms
         if self.confirmed_at == NEVER:
@@ -79,7 +94,8 @@
 
     def allows(self, now: float, served_at: float) -> bool:
         """Whether a server may be sent to that took a request sent at ``served_at`` (see ``covers``)."""
-        return self.holds(now) or now <= served_at + self.terms.bound_ms
+        bound_ms = self.terms.bound_ms if now <= self.move_by else self.terms.margin_ms
+        return self.holds(now) or now <= served_at + bound_ms
 
     def covers(self, connected_at: float) -> bool:
         """Whether a connection made then leads to the process that the list speaks of."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -369,6 +369,19 @@
     assert f.lease.is_waiting and f.lease.holds(5000.0)
 
 
+def test_after_a_move_the_old_watch_is_believed_for_no_longer_than_four_seconds():
+    f = following()
+    f.lease = ListLease(Terms(6100.0, 6100.0, False, 100.0))
+    f.told(0, 10.0)
+    f.moved(1000.0)
+    f.moved(3000.0)  # a second one does not put it off
+    f.told(0, 5000.0)  # the old address goes on telling
+    assert f.lease.holds(5099.0) and not f.lease.holds(5101.0)
+    assert f.lease.allows(5101.0, 5050.0) and not f.lease.allows(5101.0, 4900.0)
+    f.told(max(f.streams), 5200.0)
+    assert f.lease.holds(5200.0)
+
+
 def test_a_front_begins_with_a_list_or_after_a_while_without():
     lease = ListLease(ASKED)
     assert not lease.may_begin(4999.0, 0.0) and lease.may_begin(5000.0, 0.0)
