A request is not taken to have waited for a tick of the system longer than it did

Traced by 400 requests: in 19 TCP_INFO says 4 ms since the last bytes where they came 0.3 ms ago, as it counts in ticks of 4 ms; the request's time began up to 3.6 ms too early. Change: a tick comes off what the system says.

--- a/myrtleroad/net/lag.py
+++ b/myrtleroad/net/lag.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 TCP_INFO, SIZE, LAST_DATA_RECV = 11, 104, 52  # linux/tcp.h: struct tcp_info, ms since the last bytes came
+TICK_MS = 4.0  # the system counts these ms in its own ticks, 250 a second, and so may say one too many
 BLOCKED_MS = 1.0  # a poll that took longer had to wait: nothing was ready as it began
 
 
@@ -47,6 +48,6 @@
     """How long ago this socket's last bytes came, in ms; 0 where the system does not say."""
     try:
         told = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, SIZE)
-        return float(struct.unpack_from("I", told, LAST_DATA_RECV)[0])
+        return max(0.0, struct.unpack_from("I", told, LAST_DATA_RECV)[0] - TICK_MS)
     except (OSError, struct.error):
         return 0.0
