--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,46 +1,54 @@
-"""Hundreds of clients stop in the middle of a request and stay: does the front keep within its memory?"""
+"""150 clients stop in the middle of a request and stay: does the front keep within its memory?"""
 
 import asyncio
 import random
-import string
 import sys
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 
-from standins.world import HOST, SAFE, Client, Machine, Record, World, now, run_case  # noqa: E402
+from standins.world import (  # noqa: E402
+    HOST,
+    SAFE,
+    TENANT,
+    UNSAFE,
+    Client,
+    Machine,
+    Record,
+    World,
+    now,
+    run_case,
+)
 
 MACHINES = 8
 MEMORY_MB = 192  # "on scored days the limits are at most 192 MB and 1,024 descriptors"
-BAD_CLIENTS = 400  # "others connect by hundreds"
-HEAD_BYTES = 16_000
+BAD_CLIENTS = 150  # "others connect by hundreds"
+BODY_BYTES = 64_000  # "a body holds no more than 64 KiB"
+CHUNK = b"2\r\nab\r\n"  # two bytes of a body
 STAYS_S = 6.0
 REQUESTS_PER_S = 40.0
 PLAY_S = 15.0
 
 
-def head_without_end() -> bytes:
-    """The beginning of a head in many short lines."""
-    letters = string.ascii_lowercase + string.digits
-    names = [a + b for a in string.ascii_lowercase for b in letters] + [
-        a + b + c for a in string.ascii_lowercase for b in letters for c in letters
-    ]
-    text = "POST /api HTTP/1.1\r\n"
-    for name in names:
-        text += f"{name}:{name}\r\n"
-        if len(text) > HEAD_BYTES:
-            break
-    return text.encode()
+def unfinished_request(number: int) -> bytes:
+    """A request without its end: the last chunk of its body is missing."""
+    head = (
+        f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Txn: bad-{number}\r\nX-Lane: {UNSAFE}\r\n"
+        f"X-Org: {TENANT}\r\nX-Remaining-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    return head.encode() + CHUNK * (BODY_BYTES // 2)
 
 
-async def bad_client(world: World, text: bytes, ends: list[str]) -> None:
-    """Sends the beginning of a head, then waits for its error or its close."""
+async def bad_client(world: World, number: int, ends: list[str]) -> None:
+    """Sends the beginning of a request, then waits for its error or its close."""
     try:
         reader, writer = await asyncio.open_connection(HOST, world.port)
-        writer.write(text)
+        writer.write(unfinished_request(number))
+        world.record("bad client", number=number, sent="a request without its last chunk")
         line = await asyncio.wait_for(reader.readline(), STAYS_S)
         ends.append(line.decode("latin-1").strip() or "closed")
+        world.record("bad client", number=number, got=ends[-1])
         writer.close()
     except TimeoutError:
         ends.append("nothing")
@@ -64,8 +72,8 @@
         attack_at = now() + 3.0
         while now() < until:
             if trouble and attack_at is not None and now() > attack_at:
-                attack_at, text = None, head_without_end()
-                tasks = {asyncio.create_task(bad_client(world, text, ends)) for _ in range(BAD_CLIENTS)}
+                attack_at = None
+                tasks = {asyncio.create_task(bad_client(world, n, ends)) for n in range(BAD_CLIENTS)}
             asked += 1
             message = await client.ask(f"{asked:016x}", SAFE, 6000)
             served += message is not None and " 200 " in message.first_line
