--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -18,6 +18,7 @@
 from myrtleroad.net.dispatcher import RESERVED_DESCRIPTORS, ClientGone, RequestReceived
 from myrtleroad.net.listening_socket import open_listener, try_set_option
 from myrtleroad.net.log import Log, RateLimitedWarnings
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import NodeConfig
 from myrtleroad.net.read_delay import ReadDelay, last_data_age_ms
 
@@ -63,7 +64,9 @@
         "first_turn",
         "has_received_request",
         "listener",
+        "loop_turn",
         "open_request_id",
+        "overdue_from",
         "parser",
         "peer_ip",
         "pipelined_since",
@@ -95,7 +98,9 @@
         self.pipelined_since: float | None = None  # since when bytes of a next request have waited here
         # The time of accepting, of the last response's end, or of the first byte of a later request.
         self.timed_from = listener.clock()
+        self.overdue_from: float | None = None  # ``timed_from`` of the request that a sweep found overdue
         self.write_started_at: float | None = None  # None while no response is being written
+        self.loop_turn = current_turn()
 
     @property
     def is_idle(self) -> bool:
@@ -153,6 +158,9 @@
                     return
             else:
                 rest = self.parse(data)
+            if self.closing or self.ready_for_request.is_set() or rest:
+                # Guards against a client that sends as fast as it is read: no read of its bytes waits.
+                self.loop_turn.pause_if_over()
 
     def parse(self, data: memoryview | bytes) -> bytes:
         """Parses at most one request from the data; returns the bytes after it."""
@@ -302,12 +310,20 @@
             if now - self.timed_from > LINGER_TIMEOUT_MS:
                 self.close()
         elif self.parser.started:
-            if now - self.timed_from > REQUEST_READ_TIMEOUT_MS and http1.peek(self.sock) is None:
-                self.reject(408)
+            if now - self.timed_from > REQUEST_READ_TIMEOUT_MS:
+                self.reject_overdue()
         elif now - self.timed_from > IDLE_TIMEOUT_MS and http1.peek(self.sock) is None:
             self.listener.counters.add("idle_closed")
             self.close()
 
+    def reject_overdue(self) -> None:
+        """Rejects a request that is not whole after its time. Bytes that wait unread may be the rest of it,
+        as after a pause of this process; they have been read by the next sweep, and what comes later is too
+        late."""
+        if self.overdue_from == self.timed_from or http1.peek(self.sock) is None:
+            self.reject(408)
+        self.overdue_from = self.timed_from
+
 
 class ClientListener:
     """The actor that accepts client connections and keeps them within limits of descriptors and time."""
--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -28,6 +28,7 @@
 from myrtleroad.membership.call_backoff import CallBackoff, FollowerSettings
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import DECODE_ERRORS, Address, AddressChanged, NodeConfig
 
 CONNECT_TIMEOUT_S = 1.0  # as for the other streams
@@ -306,6 +307,7 @@
             while data := sock.recv(READ_BYTES):
                 for frame in decoder.feed(data):
                     self.mailbox.put(FrameReceived(number, frame))
+                current_turn().pause_if_over()
         except (OSError, FrameError) as error:
             reason = f"{type(error).__name__}: {error}"
         finally:
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -16,6 +16,7 @@
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.json_stream import JsonObjectReader
 from myrtleroad.net.log import Log
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import (
     DECODE_ERRORS,
     ListedServer,
@@ -175,6 +176,7 @@
                     if not data:
                         return ListFetched(None, "ended")
                     parser.feed(data)
+                    current_turn().pause_if_over()
             if parser.response.status != 200:
                 return ListFetched(None, f"status {parser.response.status}")
             return ListFetched(self.decode_list(b"".join(parser.response.body), source))
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -9,11 +9,12 @@
 import httptools
 from gevent import socket
 
+from myrtleroad.net.chunk_framing import ChunkFraming
 from myrtleroad.net.exchange_result import UpstreamResponse
 
 # One receive buffer for all connections: bytes are parsed as soon as they are read, without a greenlet switch
-# in between.
-BUFFER = bytearray(64 * 1024)
+# in between. Its size bounds the work of one read: readers give way to others between two reads.
+BUFFER = bytearray(16 * 1024)
 BUFFER_VIEW = memoryview(BUFFER)
 MAX_HEAD_BYTES = 16 * 1024  # as common servers allow
 MAX_BODY_BYTES = 64 * 1024  # the protocol's limit
@@ -83,6 +84,7 @@
         self.expects_continue = False  # the client waits for status 100 before it sends the body
         self.head_tail = b""  # the last bytes of an incomplete head, as HEAD_END may come in two reads
         self.head_bytes, self.body_bytes, self.remaining_body_bytes = 0, 0, 0
+        self.framing = ChunkFraming()
         self.error_status = 400  # for the client if the parser fails
 
     @property
@@ -102,7 +104,8 @@
         the request is invalid or too large; no further request can be found on the connection then."""
         position = 0
         while position < len(data) and not self.complete:
-            size = self.parsable_bytes(data[position:])
+            is_chunked, size = self.is_chunked, self.parsable_bytes(data[position:])
+            body_bytes, chunks = self.body_bytes, len(self.body_chunks)
             try:
                 self.parser.feed_data(data[position : position + size])
             except httptools.HttpParserUpgrade:
@@ -115,8 +118,17 @@
                     raise HttpError(self.error_status) from None
                 self.message.keep_alive = False  # invalid bytes right after a chunked body
             position += size
+            if is_chunked and not self.complete:
+                self.framing.add(size, self.body_bytes - body_bytes, len(self.body_chunks) - chunks)
+                if self.framing.is_too_long:
+                    raise HttpError(413)
         return position
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the next byte belongs to a chunked body, whose end only the parser finds."""
+        return not self.in_head and self.remaining_body_bytes == 0
+
     def parsable_bytes(self, data: memoryview | bytes) -> int:
         """Returns how many bytes of the data can be parsed without reading past the end of this request.
         Guards against a client that sends hundreds of requests at once: they wait as bytes, at most one read
@@ -130,11 +142,11 @@
             if self.head_bytes > MAX_HEAD_BYTES:
                 raise HttpError(431)
             return size
-        if self.remaining_body_bytes:
-            size = min(self.remaining_body_bytes, len(data))
-            self.remaining_body_bytes -= size
-            return size
-        return len(data)  # a chunked body: only the parser finds its end; see on_message_begin
+        if self.is_chunked:
+            return len(data)  # on_message_begin finds a request after its end
+        size = min(self.remaining_body_bytes, len(data))
+        self.remaining_body_bytes -= size
+        return size
 
     def on_message_begin(self) -> None:
         """Called by httptools, as the other ``on_`` methods."""
@@ -208,10 +220,12 @@
         """Prepares for the next response."""
         self.response, self.complete, self.in_head = UpstreamResponse(0), False, True
         self.head_bytes, self.body_bytes = 0, 0  # the head's with those of 1xx responses before it
+        self.chunks, self.framing = 0, ChunkFraming()
 
     def feed(self, data: memoryview) -> None:
         """Parses received bytes. Raises HttpError if they are no valid response. Bytes after a complete
         response are ignored and only end the use of its connection."""
+        was_in_head, body_bytes, chunks = self.in_head, self.body_bytes, self.chunks
         if self.in_head:
             self.head_bytes += len(data)
         try:
@@ -222,6 +236,10 @@
             self.response.keep_alive = False
         if self.in_head and self.head_bytes > MAX_HEAD_BYTES:
             raise HttpError(502)  # the head is too long
+        if not was_in_head and not self.complete:
+            self.framing.add(len(data), self.body_bytes - body_bytes, self.chunks - chunks)
+            if self.framing.is_too_long:
+                raise HttpError(502)
 
     def on_message_begin(self) -> None:
         """Called by httptools, as the other ``on_`` methods."""
@@ -255,6 +273,7 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body_bytes and not self.stream:
             raise HttpError(502)
+        self.chunks += 1
         self.response.body.append(data)
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/myrtleroad/net/loop_turn.py
@@ -0,0 +1,37 @@
+"""The event loop's turns. A read that finds bytes at once does not switch greenlets, so a peer that sends
+as fast as its bytes are processed would keep the only thread; its reader waits here for the next turn."""
+
+import functools
+import time
+
+import gevent
+
+MAX_TURN_S = 0.005  # from one poll of the sockets until the readers leave the rest for the next turn
+# Sleeping for 0 s would run other greenlets, but poll no socket until 50 of them had run.
+PAUSE_S = 0.001
+
+
+class LoopTurn:
+    """The current turn of one event loop: the time since its last poll of the sockets."""
+
+    def __init__(self) -> None:
+        self.number, self.began_at = 0, time.monotonic()
+        loop = gevent.get_hub().loop
+        self.after_poll = loop.check(ref=False, priority=loop.MAXPRI)
+        self.after_poll.start(self.begin)
+
+    def begin(self) -> None:
+        """Called by the event loop after each poll."""
+        self.number, self.began_at = self.number + 1, time.monotonic()
+
+    def pause_if_over(self) -> None:
+        """Waits for the next turn if this one has lasted for ``MAX_TURN_S``. Called between two pieces of one
+        peer's input, so that each reader processes at least one piece a turn."""
+        if time.monotonic() - self.began_at > MAX_TURN_S:
+            gevent.sleep(PAUSE_S)
+
+
+@functools.cache
+def current_turn() -> LoopTurn:
+    """Returns the turn of the event loop; the front has one loop, in one thread."""
+    return LoopTurn()
--- a/myrtleroad/net/platform.py
+++ b/myrtleroad/net/platform.py
@@ -14,6 +14,7 @@
 from myrtleroad.net.discovery import follower_settings
 from myrtleroad.net.exchange_result import ExchangeFailure, ExchangeProgress, FailureCause, UpstreamResponse
 from myrtleroad.net.log import Log
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import DECODE_ERRORS, AddressChanged, NodeConfig, stage_update
 from myrtleroad.net.stream import FollowerActor, FollowerContext, Stream
 
@@ -163,6 +164,7 @@
                         return ExchangeFailure(progress, FailureCause.ENDED)
                     progress = ExchangeProgress.BEGUN
                     parser.feed(data)
+                    current_turn().pause_if_over()
             return parser.response
         except (OSError, http1.HttpError) as error:
             cause = FailureCause.TIMEOUT if isinstance(error, TimeoutError) else FailureCause.ENDED
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -23,10 +23,11 @@
 from myrtleroad.net import http1
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import DECODE_ERRORS, Address, AddressChanged, NodeConfig
 from myrtleroad.net.stream_poller import StreamPoller
 
-READ_BYTES = 64 * 1024  # bytes per read, as many as the shared buffer holds
+READ_BYTES = 64 * 1024  # bytes per read of ``read_now``
 MAX_WAIT_S = 1.0  # longest wait of a follower, whatever is due
 # loopback and a datacentre's network connect within ms; an address that does not answer must not block for
 # long
@@ -109,6 +110,7 @@
                 if not data:
                     return "ended"
                 self.feed(data)
+                current_turn().pause_if_over()
             return "ended"
         except (OSError, http1.HttpError) as error:
             return f"{type(error).__name__}: {error}"
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -21,6 +21,7 @@
     outcome_of_attempt,
 )
 from myrtleroad.net.listening_socket import try_set_option
+from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.node_config import Address, NodeConfig
 
 # not the server's fault: descriptors, buffers, memory, ports or the network are missing on this host
@@ -322,6 +323,8 @@
                     return ExchangeFailure(progress, FailureCause.ENDED)
                 progress = ExchangeProgress.BEGUN
                 parser.feed(data)
+                if not parser.complete:
+                    current_turn().pause_if_over()
             return parser.response
         except TimeoutError:
             return ExchangeFailure(progress, FailureCause.TIMEOUT)
