A client that left is noticed behind its unread requests; none of them is begun

Cause: while a response is due the end was looked for by a peek, which shows an unread byte and not the end behind it; and the next request was parsed without a look.

Change: http1.has_left also polls for POLLRDHUP, which the system reports whatever waits unread; it is asked while a response is due and before a request that was sent ahead is begun. Why this works: the poll runs every 50 ms, and in between no further request of that client can begin.

--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -37,8 +37,7 @@
 # milliseconds.
 WRITE_TIMEOUT_MS = 2000.0
 SWEEP_INTERVAL_S = 0.2  # between checks of all connections; keeps the timeouts above within 3 s
-# Between checks whether a client has left while its next request waits in the buffer; reading does not show
-# that it has left then.
+# Between checks whether a client has left while its next request waits unread; reading does not show it then.
 DISCONNECT_POLL_S = 0.05
 # Bytes read and discarded after the last response. Closing with unread bytes would reset the connection and
 # cut that response off.
@@ -156,6 +155,8 @@
                     self.pipelined_since = self.listener.clock()
                 if not self.wait_for_response():
                     return
+            elif rest and http1.has_left(self.sock):
+                return  # what it sent ahead is not begun for a client that has gone
             else:
                 rest = self.parse(data)
             if self.closing or self.ready_for_request.is_set() or rest:
@@ -188,7 +189,7 @@
     def wait_for_response(self) -> bool:
         """Waits until the due response has been written; returns False if the client disconnects first."""
         while not self.ready_for_request.wait(DISCONNECT_POLL_S):
-            if http1.peek(self.sock) == b"":
+            if http1.has_left(self.sock):
                 return False
         return True
 
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -2,6 +2,7 @@
 
 import errno
 import math
+import select
 import time
 from dataclasses import dataclass, field
 
@@ -28,6 +29,7 @@
 # A system call may succeed after these errors; the connection is still usable.
 TRANSIENT_ERRNOS = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
 RETRY_DELAY_S = 0.01  # before a system call that failed with one of them is repeated
+HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -377,6 +379,18 @@
         sock.settimeout(timeout_s)
 
 
+def has_left(sock: socket.socket) -> bool:
+    """Whether the peer has closed the connection or its sending side, even behind unread bytes."""
+    if peek(sock) == b"":
+        return True
+    hangup = select.poll()
+    try:
+        hangup.register(sock.fileno(), select.POLLRDHUP)
+        return any(events & HANGUP_EVENTS for _, events in hangup.poll(0))
+    except (OSError, ValueError):
+        return False  # the next read or write will tell
+
+
 def is_stale(sock: socket.socket) -> bool:
     """Whether the peer has closed an idle connection, or has sent bytes on it that no request asked for."""
     return peek(sock) is not None
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -275,3 +275,30 @@
     assert read_status(with_request)[0] == 502
     with pytest.raises(ConnectionError):
         socket.create_connection(address)
+
+
+@pytest.mark.parametrize("requests", [2, 600])
+def test_a_client_that_left_behind_many_unread_requests_is_gone_at_once(requests):
+    # Guards against the review's "a client that sends 600 requests at once and leaves": its second request
+    # was sent to a server 0.26 s after the close, as unread bytes hid the end of the connection.
+    listener, received = start_listener()
+    sock = connect(listener)
+    sock.sendall(VALID_REQUEST * requests)
+    first = received.get()
+    sock.shutdown(socket.SHUT_WR)
+    assert received.get(timeout=0.1) == ClientGone(first.request.id)
+    first.respond(response.shed(0.0))
+    gevent.sleep(0.05)
+    assert received.empty() and not listener.connections
+
+
+def test_no_request_sent_ahead_is_begun_after_its_client_has_left():
+    # Guards against the same between the polls: the end comes together with the last response.
+    listener, received = start_listener()
+    sock = connect(listener)
+    sock.sendall(VALID_REQUEST * 600)
+    first = received.get()
+    sock.shutdown(socket.SHUT_WR)
+    first.respond(response.shed(0.0))
+    gevent.sleep(0.1)
+    assert received.empty() and not listener.connections
