At most 16 accepts in a turn: clients that connect again and again stop nobody

Cause: an accept that finds a connection does not switch greenlets, and the listener made room and accepted on without a turn of the event loop for as long as connections waited.

Change: loop_turn.TurnQuota; the listener waits for the next turn after 16 accepts in one. A number and not a time, as the listener has to accept in long turns too. Why this works: what was accepted is read, answered and closed in between.

Test: tests/test_endless_input.py, a listening socket on which every accept succeeds at once: without the change 400 accepts come between two timers of 1 ms, with it at most 64 are allowed.

--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -18,7 +18,7 @@
 from myrtleroad.net.dispatcher import RESERVED_DESCRIPTORS, ClientGone, RequestReceived
 from myrtleroad.net.listening_socket import open_listener, try_set_option
 from myrtleroad.net.log import Log, RateLimitedWarnings
-from myrtleroad.net.loop_turn import current_turn
+from myrtleroad.net.loop_turn import TurnQuota, current_turn
 from myrtleroad.net.node_config import NodeConfig
 from myrtleroad.net.read_delay import ReadDelay, last_data_age_ms
 
@@ -334,6 +334,7 @@
     # RESERVED_DESCRIPTORS.
     EXTRA_CONNECTIONS = 8
     MAX_CLOSED_AT_ONCE = 16  # connections closed together when descriptors run short
+    ACCEPTS_PER_TURN = 16  # of the event loop; what is read and answered has the rest of the turn
     RETRY_DELAY_S = 0.01  # after a failed accept or when no connection can be closed, so as not to spin
 
     def __init__(
@@ -435,7 +436,10 @@
 
     def accept(self) -> None:
         """Accepts connections, and closes idle ones when descriptors run short."""
+        accepts = TurnQuota(current_turn(), self.ACCEPTS_PER_TURN)
         while True:
+            # Guards against clients that connect again as soon as they are closed: no accept of theirs waits.
+            accepts.use()
             if (
                 len(self.connections) >= self.max_connections + self.EXTRA_CONNECTIONS
                 and not self.make_room()
--- a/myrtleroad/net/loop_turn.py
+++ b/myrtleroad/net/loop_turn.py
@@ -31,6 +31,24 @@
             gevent.sleep(PAUSE_S)
 
 
+class TurnQuota:
+    """How often one greenlet may repeat its work in a turn, for work that has to go on in long turns too."""
+
+    __slots__ = ("loop_turn", "per_turn", "turn_number", "used")
+
+    def __init__(self, loop_turn: LoopTurn, per_turn: int):
+        self.loop_turn, self.per_turn = loop_turn, per_turn
+        self.turn_number, self.used = loop_turn.number, 0
+
+    def use(self) -> None:
+        """Counts one repetition; waits for the next turn first if this turn has had its number."""
+        if self.turn_number == self.loop_turn.number and self.used >= self.per_turn:
+            gevent.sleep(PAUSE_S)
+        if self.turn_number != self.loop_turn.number:
+            self.turn_number, self.used = self.loop_turn.number, 0
+        self.used += 1
+
+
 @functools.cache
 def current_turn() -> LoopTurn:
     """Returns the turn of the event loop; the front has one loop, in one thread."""
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -1,9 +1,11 @@
 """Peers that send without end, at least as fast as their bytes are parsed: nobody else may wait for them."""
 
+import itertools
 import time
 
 import gevent
 import pytest
+from gevent import socket
 from test_client_listener import VALID_REQUEST, connect, read_status, start_listener
 from test_upstream_server import build_job, build_server
 
@@ -166,3 +168,33 @@
     assert not bad.sent  # what waits may be the rest, as after a pause of this process
     connection.check_timeouts(now + 200.0)
     assert bad.sent.startswith(b"HTTP/1.1 408")
+
+
+class EndlessListener:
+    """A listening socket on which every accept finds a silent client at once. Fails after ``limit``."""
+
+    def __init__(self, limit=400):
+        self.limit, self.clients = limit, []
+
+    def accept(self):
+        assert len(self.clients) < self.limit, "accepted on without an end"
+        client, accepted = socket.socketpair()
+        self.clients.append(client)
+        return accepted, ("127.0.0.1", 9)
+
+
+def test_connections_that_come_without_end_do_not_stop_the_others():
+    # Guards against the review's "silent clients that connect again as soon as they are closed": accepting
+    # and closing them went on without a turn of the event loop.
+    listener, _ = start_listener(sockets=100)
+    wake = connect(listener)
+    gevent.sleep(0.01)
+    real, listener.sock = listener.sock, EndlessListener()
+    connect_again = socket.create_connection(real.getsockname())
+    counts = [0]
+    while counts[-1] < 300:
+        gevent.sleep(0.001)
+        counts.append(len(listener.sock.clients))
+    assert max(later - earlier for earlier, later in itertools.pairwise(counts)) <= 64
+    wake.close()
+    connect_again.close()
