Streams have limits over time: a list service that sends without end is left

The front read and processed whatever came, in read_now over a megabyte before each attempt, and every line, an empty one too, became a message in a mailbox without a bound.

Cause: a line was bounded, the stream was not.

Change: membership/stream_quota.py, two token buckets a peer, in bytes with a cost for each line and in messages, over all its streams; over them the stream ends like an unreadable one and is asked again by its usual pauses. A stage event has 16 KiB, not 1 MiB. Of empty lines in a row one is passed on. The beginning of a line is no longer copied with each read. What a peer wrote is cut to 200 characters in the log. Why this works: the work that a peer can cause a second is bounded, and the reader's pause leaves the mailbox to its actor after each turn.

--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -12,6 +12,7 @@
 from myrtleroad.membership.lease import LeaseTerms, ListLease
 from myrtleroad.membership.server_list import ListChange, ListMessage, Restriction, ServerList
 from myrtleroad.membership.stream_follower import FreshnessChanged
+from myrtleroad.membership.stream_quota import StreamLimits
 from myrtleroad.net import http1
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.json_stream import JsonObjectReader
@@ -26,7 +27,7 @@
     listed_servers,
     non_negative_int,
 )
-from myrtleroad.net.stream import CONNECT_TIMEOUT_S, MAX_LINE_BYTES, FollowerActor, FollowerContext, Stream
+from myrtleroad.net.stream import CONNECT_TIMEOUT_S, MAX_LIST_BYTES, FollowerActor, FollowerContext, Stream
 
 HEARTBEAT_MS = 2000.0  # interval of empty lines while nothing changes (protocol)
 # for a separate request of the whole list: a service that queues its callers takes as long
@@ -77,6 +78,9 @@
 
     ACTOR_NAME = "roster"  # the actor's name in log events
     NAME, ENDED_COUNTER = "list", "watches_ended"
+    MAX_LINE_BYTES = MAX_LIST_BYTES
+    # Several whole lists at once, and each second a list or a change of a quarter of its servers one by one.
+    LIMITS = StreamLimits(8 * MAX_LIST_BYTES, MAX_LIST_BYTES, 4096, 1024.0)
 
     def __init__(self, node_config: NodeConfig, counters: Counters, log: Log, context: FollowerContext):
         self.lease = ListLease(LeaseTerms.from_settings(node_config.facts))
@@ -115,6 +119,7 @@
         object_text = self.readers.setdefault(stream.number, JsonObjectReader(LIST_KEY)).feed(line)
         if object_text is None:
             return
+        self.count_message()
         message = self.decode_list(object_text, self.sources[stream.number])
         watched = stream.has_delivered and self.stream_follower.freshness is interface.ListFreshness.FRESH
         change = self.server_list.apply_message(message, self.stream_follower.is_sole_source(stream.number))
@@ -165,7 +170,7 @@
     def fetch_list(self, source: int) -> ListFetched:
         """Request the whole list in a separate call."""
         # as long as one line of a watch
-        sock, parser = None, http1.ResponseParser(max_body_bytes=MAX_LINE_BYTES)
+        sock, parser = None, http1.ResponseParser(max_body_bytes=MAX_LIST_BYTES)
         self.counters.add("lists_fetched")
         try:
             with gevent.Timeout(FETCH_TIMEOUT_S, TimeoutError):
--- a/myrtleroad/net/platform.py
+++ b/myrtleroad/net/platform.py
@@ -9,6 +9,7 @@
 from gevent.queue import SimpleQueue
 
 from myrtleroad import interface
+from myrtleroad.membership.stream_quota import StreamLimits
 from myrtleroad.net import http1
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.discovery import follower_settings
@@ -76,6 +77,9 @@
 
     ACTOR_NAME = "bulletin"  # the actor's name in log events
     NAME, ENDED_COUNTER = "bulletin", "bulletins_ended"
+    MAX_LINE_BYTES = 16 * 1024  # an event is one stage, some hundred bytes
+    # At once as much as the platform holds for a slow reader.
+    LIMITS = StreamLimits(256 * 1024, 64 * 1024.0, 1024, 256.0)
 
     def __init__(self, node_config: NodeConfig, counters: Counters, log: Log, context: FollowerContext):
         super().__init__(
@@ -105,6 +109,7 @@
                 raise ValueError("unknown event type")
             self.event_types[stream.number] = value
         elif field_name == b"data" and self.event_types.get(stream.number) == b"progress":
+            self.count_message()
             update = stage_update(dict(parse_qsl(value.decode())))
             self.deliver(update)
             self.received(stream, build=update.build)
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -20,6 +20,7 @@
     OpenStream,
     StreamFollower,
 )
+from myrtleroad.membership.stream_quota import StreamLimits, StreamQuota
 from myrtleroad.net import http1
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
@@ -32,7 +33,12 @@
 # loopback and a datacentre's network connect within ms; an address that does not answer must not block for
 # long
 CONNECT_TIMEOUT_S = 1.0
-MAX_LINE_BYTES = 1024 * 1024  # a list of about 4,000 servers on one line; bounds input without line ends
+MAX_LIST_BYTES = 1024 * 1024  # a list of about 4,000 servers
+MAX_REASON_CHARACTERS = 200  # of the peer's text in the reason of an end, as it is logged
+
+
+class StreamFloodError(ConnectionError):
+    """The peer has sent more than its limits allow."""
 
 
 class FollowerContext(NamedTuple):
@@ -67,14 +73,17 @@
 
     __slots__ = (
         "address",
+        "clock",
         "connected",
         "greenlet",
         "has_delivered",
+        "max_line_bytes",
         "number",
         "parser",
         "partial_line",
         "poller",
         "post",
+        "quota",
         "requested_at",
         "sock",
         "target",
@@ -84,7 +93,8 @@
         self.number, self.address, self.target = number, follower.address, target
         self.post, self.poller, self.sock = follower.post, follower.poller, None
         self.parser = http1.ResponseParser(stream=True)
-        self.partial_line = b""  # the beginning of a line that is not complete
+        self.clock, self.quota, self.max_line_bytes = follower.clock, follower.quota, follower.MAX_LINE_BYTES
+        self.partial_line = bytearray()  # the beginning of a line that is not complete
         self.has_delivered = False  # whether it has delivered a readable message
         self.requested_at = follower.clock()
         self.connected = False  # whether its connection was established
@@ -121,12 +131,16 @@
                 sock.close()
 
     def feed(self, data: memoryview | bytes) -> None:
-        """Parse received bytes. Raises HttpError if the response is not a stream or cannot be read."""
+        """Parse received bytes. Raises HttpError if the response is not a stream or cannot be read,
+        StreamFloodError if the peer sends too much."""
         self.parser.feed(data)
         if self.parser.response.status not in (0, 200):
             raise http1.HttpError(self.parser.response.status)
         chunks, self.parser.response.body = self.parser.response.body, []
-        self.split_lines(b"".join(chunks))
+        content = b"".join(chunks)
+        if not self.quota.take_bytes(len(data), content.count(b"\n"), self.clock()):
+            raise StreamFloodError("too much data")
+        self.split_lines(content)
 
     def read_now(self) -> bool:
         """Read once, again if the buffer was filled, and so on up to the length of a line. False at the end
@@ -134,7 +148,7 @@
         if self.sock is None or self.parser.complete:
             return False
         try:
-            for _ in range(MAX_LINE_BYTES // READ_BYTES + 1):
+            for _ in range(self.max_line_bytes // READ_BYTES + 1):
                 data = os.read(self.sock.fileno(), READ_BYTES)
                 if not data:
                     return False
@@ -151,12 +165,20 @@
         return True
 
     def split_lines(self, chunk: bytes) -> None:
-        """Split a chunk into lines; lines may be split at any byte."""
-        *lines, self.partial_line = (self.partial_line + chunk).split(b"\n")
-        if len(self.partial_line) > MAX_LINE_BYTES:
-            raise http1.HttpError(502)
+        """Split a chunk into lines; lines may be split at any byte. Of empty lines in a row one is passed on:
+        it says as much as all of them."""
+        self.partial_line += chunk
+        if b"\n" not in chunk:
+            if len(self.partial_line) > self.max_line_bytes:
+                raise http1.HttpError(502)
+            return
+        *lines, rest = bytes(self.partial_line).split(b"\n")
+        self.partial_line = bytearray(rest)
+        is_first, previous = True, b""
         for line in lines:
-            self.post(LineReceived(self, line))
+            if line or previous or is_first:
+                self.post(LineReceived(self, line))
+            is_first, previous = False, line
 
     def close(self) -> None:
         """Stop reading and close the connection."""
@@ -168,6 +190,8 @@
     streams, passes received data and elapsed time to it, and delivers the messages."""
 
     NAME, ENDED_COUNTER = "", ""  # for the log and counters
+    MAX_LINE_BYTES = 0  # bounds input without line ends
+    LIMITS = StreamLimits(0, 0.0, 0, 0.0)  # of the peer, over all its streams
 
     def __init__(
         self,
@@ -181,6 +205,7 @@
         self.address, self.counters, self.log = address, counters, log
         self.clock, self.deliver, self.poller = context
         self.stream_follower = StreamFollower(settings, Random(node_config.seed).random, self.clock())
+        self.quota = StreamQuota(self.LIMITS, self.clock())
         self.poller.after_poll.append(self.process_mailbox)
         self.mailbox: SimpleQueue = SimpleQueue()
         # set when a message was posted or taken: the next deadline may have changed
@@ -234,13 +259,19 @@
                 self.process_other(message)
 
     def read_line(self, stream: Stream, line: bytes) -> None:
-        """Process a line; one that cannot be decoded ends its stream."""
+        """Process a line; one that cannot be decoded, or one message too many, ends its stream."""
         try:
             self.process_line(stream, line)
-        except DECODE_ERRORS as error:
+        except (StreamFloodError, *DECODE_ERRORS) as error:
             del self.streams[stream.number]
             stream.close()
-            self.stream_ended(stream, f"unreadable: {type(error).__name__}: {error}")
+            reason = f"unreadable: {type(error).__name__}: {error}"
+            self.stream_ended(stream, reason[:MAX_REASON_CHARACTERS])
+
+    def count_message(self) -> None:
+        """Count a message before it is decoded. Raises StreamFloodError if the peer has sent too many."""
+        if not self.quota.take_message(self.clock()):
+            raise StreamFloodError("too many messages")
 
     def log_lost(self, stream: Stream, reason: str) -> None:
         """Count and log the end of a stream that this side did not close."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -228,7 +228,7 @@
 
 
 def test_line_without_end_ends_its_connection(monkeypatch):
-    monkeypatch.setattr(stream, "MAX_LINE_BYTES", 100)
+    monkeypatch.setattr(discovery.DiscoveryClient, "MAX_LINE_BYTES", 100)
     client, _ = build_discovery_client()
     with pytest.raises(http1.HttpError):
         start_following(client).split_lines(b"x" * 101)
@@ -489,7 +489,7 @@
 def test_whole_list_above_the_size_limit_is_given_up():
     def handle_connection(sock):
         read_request(sock)
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (stream.MAX_LINE_BYTES + 1))
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (stream.MAX_LIST_BYTES + 1))
 
     client, _ = build_discovery_client(Peer(handle_connection).address)
     assert client.fetch_list(0).message is None
@@ -516,3 +516,63 @@
     fetched = client.fetch_list(0)
     client.process_other(fetched)
     assert fetched.message is None and fetched.error == "ended" and not delivered_of_type(delivered)
+
+
+def process_without_end(follower, connection, text, limit_bytes):
+    """Feed a stream the same text again and again, as it arrives; returns how much was taken until it
+    ended."""
+    taken = 0
+    while connection.number in follower.streams and taken < limit_bytes:
+        data = text * (4096 // len(text))
+        try:
+            connection.feed(memoryview(b"%x\r\n%b\r\n" % (len(data), data)))
+        except (http1.HttpError, stream.StreamFloodError):
+            return taken
+        follower.process_mailbox()
+        taken += len(data)
+    return taken
+
+
+@pytest.mark.parametrize(
+    ("build", "text"),
+    [
+        (build_discovery_client, b"\n"),
+        (build_discovery_client, orjson.dumps({"generation": 8, "reset": False, "instances": []}) + b"\n"),
+        (build_stage_updates, b"\n"),
+        (build_stage_updates, b":\n"),
+        (build_stage_updates, EVENT),
+        (build_stage_updates, b"event: metrics\ndata: 1\n"),
+    ],
+)
+def test_a_stream_that_sends_without_end_is_ended(build, text):
+    # Guards against the cause of review case 1 in streams: a list service or a platform that sends at full
+    # speed had the front process all of it, and before each attempt more than a megabyte at once.
+    follower, _ = build()
+    connection = start_following(follower)
+    connection.feed(memoryview(CHUNKED))
+    assert process_without_end(follower, connection, text, 40_000_000) < 10_000_000
+
+
+def test_three_thousand_servers_on_indented_lines_are_no_flood():
+    # Guards usual peers: the largest fleet, twice in a row, as a service may send it after a reset.
+    client, _ = build_discovery_client()
+    connection = start_following(client)
+    connection.feed(memoryview(CHUNKED))
+    entries = [discovery_entry(f"s-{number}", SERVER_ADDRESS) for number in range(3200)]
+    for generation in (8, 9):
+        text = orjson.dumps(
+            {"generation": generation, "reset": True, "instances": entries}, option=orjson.OPT_INDENT_2
+        )
+        for position in range(0, len(text) + 1, 16_000):
+            data = (text + b"\n")[position : position + 16_000]
+            connection.feed(memoryview(b"%x\r\n%b\r\n" % (len(data), data)))
+        client.process_mailbox()
+    assert client.server_list.version == 9 and len(client.server_list.entries) == 3200
+
+
+def test_many_empty_lines_are_passed_on_as_one():
+    # Guards against a mailbox that grows by an object for each byte of a read.
+    client, _ = build_discovery_client()
+    connection = start_following(client)
+    connection.split_lines(b"\n" * 16_000)
+    assert client.mailbox.qsize() == 1
