--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -6,7 +6,7 @@
 from gevent import socket
 from gevent.queue import SimpleQueue
 
-from myrtleroad.net import client_listener, response
+from myrtleroad.net import client_connection, client_listener, response
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.dispatcher import ClientGone, RequestReceived
@@ -26,6 +26,10 @@
     return listener, received
 
 
+def module_of(constant):
+    return client_connection if hasattr(client_connection, constant) else client_listener
+
+
 def connect(listener):
     return socket.create_connection(listener.sock.getsockname())
 
@@ -161,7 +165,7 @@
 
 
 def test_client_disconnect_is_noticed_with_pipelined_requests_unread(monkeypatch):
-    monkeypatch.setattr(client_listener, "DISCONNECT_POLL_S", 0.001)
+    monkeypatch.setattr(client_connection, "DISCONNECT_POLL_S", 0.001)
     listener, received = start_listener()
     sock = connect(listener)
     sock.sendall(VALID_REQUEST * 2)
@@ -180,7 +184,7 @@
         ("SWEEP_INTERVAL_S", 0.005),
         ("LINGER_TIMEOUT_MS", 20.0),
     ):
-        monkeypatch.setattr(client_listener, name, value)
+        monkeypatch.setattr(module_of(name), name, value)
     listener, received = start_listener()
     sock = connect(listener)
     sock.sendall(data)
@@ -198,7 +202,7 @@
         ("REQUEST_READ_TIMEOUT_MS", 5.0),
         ("SWEEP_INTERVAL_S", 0.002),
     ):
-        monkeypatch.setattr(client_listener, name, value)
+        monkeypatch.setattr(module_of(name), name, value)
     listener, received = start_listener()
     sock = connect(listener)
     sock.sendall(VALID_REQUEST)
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -11,7 +11,7 @@
 
 from myrtleroad import interface
 from myrtleroad.net import http1, response, upstream_server
-from myrtleroad.net.client_listener import ClientConnection
+from myrtleroad.net.client_connection import ClientConnection
 
 CHUNKED = b"\r\nTransfer-Encoding: chunked\r\n\r\n"
 POST_HEAD = VALID_REQUEST.replace(b"GET", b"POST").replace(b"look", b"book").replace(b"\r\n\r\n", CHUNKED)
