Readers of long input share 5 ms of a turn, so that others are not shed

Cause: each reader did a piece of 16 KiB in every turn, 150 of them some 75 ms; requests read in such turns had waited over admission control's target.

Change: a reader goes on only in a turn that is younger than 5 ms, and sleeps longer the more wait. Sleepers are not kept out: timers run before sockets are read. The first read of a request takes 4 KiB, as many may begin at once. Why this works: long input together costs about 5 ms a turn, however many send it.

--- a/myrtleroad/net/client_connection.py
+++ b/myrtleroad/net/client_connection.py
@@ -28,6 +28,7 @@
 # For a client to read a response: the system's buffers hold 64 KiB, and a client that reads needs
 # milliseconds.
 WRITE_TIMEOUT_MS = 2000.0
+FIRST_READ_BYTES = 4096  # a head and a short body
 # Between checks whether a client has left while its next request waits unread; reading does not show it then.
 DISCONNECT_POLL_S = 0.05
 # Bytes read and discarded after the last response. Closing with unread bytes would reset the connection and
@@ -132,7 +133,7 @@
     def read_requests(self) -> None:
         """Keeps reading while a request is open, so that a client's disconnect is noticed at once."""
         rest: memoryview | bytes = b""
-        while data := rest or http1.receive(self.sock):
+        while data := rest or self.receive():
             if self.closing:
                 rest = b""  # bytes after the last response are not parsed as a request
                 self.discarded_bytes += len(data)
@@ -151,7 +152,12 @@
                 rest = self.parse(data)
             if self.closing or self.ready_for_request.is_set() or rest:
                 # Guards against a client that sends as fast as it is read: no read of its bytes waits.
-                self.loop_turn.pause_if_over()
+                self.loop_turn.wait_if_over()
+
+    def receive(self) -> memoryview:
+        """Waits for bytes. The first read of a request is a short one: hundreds of clients may send long ones
+        at the same moment, and only the later reads take turns."""
+        return http1.receive(self.sock, 0 if self.parser.started or self.closing else FIRST_READ_BYTES)
 
     def parse(self, data: memoryview | bytes) -> bytes:
         """Parses at most one request from the data; returns the bytes after it."""
--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -307,7 +307,7 @@
             while data := sock.recv(READ_BYTES):
                 for frame in decoder.feed(data):
                     self.mailbox.put(FrameReceived(number, frame))
-                current_turn().pause_if_over()
+                current_turn().wait_if_over()
         except (OSError, FrameError) as error:
             reason = f"{type(error).__name__}: {error}"
         finally:
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -181,7 +181,7 @@
                     if not data:
                         return ListFetched(None, "ended")
                     parser.feed(data)
-                    current_turn().pause_if_over()
+                    current_turn().wait_if_over()
             if parser.response.status != 200:
                 return ListFetched(None, f"status {parser.response.status}")
             return ListFetched(self.decode_list(b"".join(parser.response.body), source))
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -349,14 +349,15 @@
             gevent.sleep(RETRY_DELAY_S)
 
 
-def receive(sock: socket.socket) -> memoryview:
-    """Waits for bytes and returns them, empty once the peer has closed. The result is a view of a shared
-    buffer and valid until the next greenlet switch. Raises TimeoutError after the socket's timeout."""
+def receive(sock: socket.socket, max_bytes: int = 0) -> memoryview:
+    """Waits for bytes and returns them, at most ``max_bytes`` if given, empty once the peer has closed. The
+    result is a view of a shared buffer and valid until the next greenlet switch. Raises TimeoutError after
+    the socket's timeout."""
     timeout_s = sock.gettimeout()
     deadline = None if timeout_s is None else time.monotonic() + timeout_s
     while True:
         try:
-            return BUFFER_VIEW[: sock.recv_into(BUFFER)]
+            return BUFFER_VIEW[: sock.recv_into(BUFFER, max_bytes)]
         except OSError as error:
             if error.errno not in TRANSIENT_ERRNOS or (deadline is not None and time.monotonic() >= deadline):
                 raise
--- a/myrtleroad/net/loop_turn.py
+++ b/myrtleroad/net/loop_turn.py
@@ -6,9 +6,10 @@
 
 import gevent
 
-MAX_TURN_S = 0.005  # from one poll of the sockets until the readers leave the rest for the next turn
+MAX_TURN_S = 0.005  # from one poll of the sockets until the rest of long input is left for the next turn
 # Sleeping for 0 s would run other greenlets, but poll no socket until 50 of them had run.
 PAUSE_S = 0.001
+READERS_PER_PAUSE = 8  # the more readers wait, the longer each sleeps, as each wake-up takes time
 
 
 class LoopTurn:
@@ -16,6 +17,7 @@
 
     def __init__(self) -> None:
         self.number, self.began_at = 0, time.monotonic()
+        self.waiting = 0  # readers of long input that wait for a turn
         loop = gevent.get_hub().loop
         self.after_poll = loop.check(ref=False, priority=loop.MAXPRI)
         self.after_poll.start(self.begin)
@@ -24,11 +26,16 @@
         """Called by the event loop after each poll."""
         self.number, self.began_at = self.number + 1, time.monotonic()
 
-    def pause_if_over(self) -> None:
-        """Waits for the next turn if this one has lasted for ``MAX_TURN_S``. Called between two pieces of one
-        peer's input, so that each reader processes at least one piece a turn."""
-        if time.monotonic() - self.began_at > MAX_TURN_S:
-            gevent.sleep(PAUSE_S)
+    def wait_if_over(self) -> None:
+        """Waits for a new turn if this one has lasted for ``MAX_TURN_S``. Called between two pieces of one
+        peer's input, so that all readers of long input together take about that much of a turn. They are not
+        kept out of it: the event loop runs timers, and so those who sleep here, before it reads sockets."""
+        while time.monotonic() - self.began_at > MAX_TURN_S:
+            self.waiting += 1
+            try:
+                gevent.sleep(PAUSE_S * (1 + self.waiting // READERS_PER_PAUSE))
+            finally:
+                self.waiting -= 1
 
 
 class TurnQuota:
--- a/myrtleroad/net/platform.py
+++ b/myrtleroad/net/platform.py
@@ -169,7 +169,7 @@
                         return ExchangeFailure(progress, FailureCause.ENDED)
                     progress = ExchangeProgress.BEGUN
                     parser.feed(data)
-                    current_turn().pause_if_over()
+                    current_turn().wait_if_over()
             return parser.response
         except (OSError, http1.HttpError) as error:
             cause = FailureCause.TIMEOUT if isinstance(error, TimeoutError) else FailureCause.ENDED
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -120,7 +120,7 @@
                 if not data:
                     return "ended"
                 self.feed(data)
-                current_turn().pause_if_over()
+                current_turn().wait_if_over()
             return "ended"
         except (OSError, http1.HttpError) as error:
             return f"{type(error).__name__}: {error}"
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -324,7 +324,7 @@
                 progress = ExchangeProgress.BEGUN
                 parser.feed(data)
                 if not parser.complete:
-                    current_turn().pause_if_over()
+                    current_turn().wait_if_over()
             return parser.response
         except TimeoutError:
             return ExchangeFailure(progress, FailureCause.TIMEOUT)
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -34,16 +34,17 @@
         self.received, self.sent = 0, b""
         self.closed = False
 
-    def recv_into(self, buffer):
+    def recv_into(self, buffer, size=0):
         if self.closed:
             return 0
-        while len(self.unread) < len(buffer):
+        size = size or len(buffer)
+        while len(self.unread) < size:
             self.unread += self.repeated * 1000
-        buffer[:] = self.unread[: len(buffer)]
-        self.unread = self.unread[len(buffer) :]
-        self.received += len(buffer)
+        buffer[:size] = self.unread[:size]
+        self.unread = self.unread[size:]
+        self.received += size
         assert self.received <= self.limit, "read on without an end"
-        return len(buffer)
+        return size
 
     def recv(self, size, flags=0):
         return self.repeated[:size]
@@ -198,3 +199,21 @@
     assert max(later - earlier for earlier, later in itertools.pairwise(counts)) <= 64
     wake.close()
     connect_again.close()
+
+
+def test_hundreds_of_long_requests_at_once_do_not_have_the_others_shed():
+    # Guards usual clients beside review case 3: while 150 long requests were read, a piece of each in every
+    # turn of the event loop, others waited for so long that admission control shed them.
+    listener, received = start_listener()
+    for _ in range(150):
+        connection = ClientConnection(listener, EndlessSocket(POST_HEAD, b"2\r\nab\r\n"))
+        listener.connections.add(connection)
+        gevent.spawn(connection.run)
+    usual = connect(listener)
+    for _ in range(20):
+        usual.sendall(VALID_REQUEST)
+        message = received.get(timeout=1.0)
+        assert message.read_delay_ms < listener.admission.target_ms
+        message.respond(response.shed(0.0))
+        read_status(usual)
+        gevent.sleep(0.02)
