--- a/myrtleroad/net/client_connection.py
+++ b/myrtleroad/net/client_connection.py
@@ -170,6 +170,8 @@
             self.reject(error.status)
             return b""
         rest = bytes(data[consumed:])
+        if not self.hold_memory():
+            return b""
         if parser.complete:
             read_delay_ms = self.read_delay_ms()
             self.has_received_request, self.response_due = True, True
@@ -182,6 +184,16 @@
             self.pipelined_since = None
         return rest
 
+    def hold_memory(self) -> bool:
+        """Counts the memory of the current request, and sheds the requests for which there is none; returns
+        False if this one was shed."""
+        memory, parser = self.listener.request_memory, self.parser
+        hold = memory.hold_complete if parser.complete else memory.hold_partial
+        evicted = hold(self, parser.held_bytes) if parser.started else []
+        for connection in evicted:
+            connection.end_with(self.listener.out_of_memory())
+        return self not in evicted
+
     def wait_for_response(self) -> bool:
         """Waits until the due response has been written; returns False if the client disconnects first."""
         while not self.ready_for_request.wait(DISCONNECT_POLL_S):
@@ -228,10 +240,15 @@
             listener.deliver(RequestReceived(request, message, now, self.respond, read_delay_ms))
 
     def reject(self, status: int) -> None:
-        """Writes the last response of a connection: its framing is lost, or its request stays incomplete."""
+        """Rejects a request whose framing is lost or which stays incomplete."""
+        self.end_with(response.rejected(status))
+
+    def end_with(self, last_response: response.Response) -> None:
+        """Writes the last response of a connection, in the middle of a request, and drops what came of it."""
         self.closing, self.response_due = True, True
         self.ready_for_request.clear()
-        self.respond(response.rejected(status))
+        self.parser.reset()
+        self.respond(last_response)
 
     def respond(self, final_response: response.Response) -> None:
         """Writes the final response of the open request, from any greenlet; never blocks. Without effect if
@@ -240,6 +257,7 @@
             return  # it has its response already, or the client has disconnected
         self.open_request_id, self.response_due = None, False
         self.release_tenant()
+        self.listener.request_memory.release(self)
         self.closing = self.closing or self.listener.stopping or self.listener.is_crowded
         self.listener.counters.add(f"answers_{final_response.status}")
         self.write_started_at = self.listener.clock()
@@ -296,6 +314,7 @@
         self.closing = True
         self.sock.close()
         self.listener.connections.discard(self)
+        self.listener.request_memory.release(self)
 
     def check_timeouts(self, now: float) -> None:
         """Applies the connection's timeouts; they do not affect a request that the dispatcher has."""
--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -8,6 +8,7 @@
 
 from myrtleroad import interface
 from myrtleroad.admission.admission_control import AdmissionControl, AdmissionDecision
+from myrtleroad.admission.request_memory import RequestMemory
 from myrtleroad.net import http1, response
 from myrtleroad.net.client_connection import ClientConnection
 from myrtleroad.net.clock import Clock
@@ -24,6 +25,10 @@
     from myrtleroad.config.request_limits import RequestLimits
 
 SWEEP_INTERVAL_S = 0.2  # between checks of all connections; keeps the connections' timeouts within 3 s
+BYTES_PER_MB = 1024 * 1024
+# Of the front's memory, for the requests of all clients. Servers' answers need as much, and the rest is the
+# program's own.
+REQUEST_MEMORY_SHARE = 1 / 8
 MAX_TRANSACTION_ID_LENGTH = 128  # characters; several times the length of the common forms
 
 
@@ -56,6 +61,7 @@
         self.max_connections = (node_config.sockets - RESERVED_DESCRIPTORS) // 2
         # Connections kept open between requests: fewer than the third that open requests may hold.
         self.max_kept_alive = node_config.sockets // 4
+        self.request_memory = RequestMemory(int(node_config.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_SHARE))
         self.last_request_id = 0
         self.stopping = False
         # The settings as operators limit them, their networks and their request limits, each in effect now.
@@ -168,6 +174,11 @@
         self.counters.add("reqs_full")
         return response.overloaded(self.settings)
 
+    def out_of_memory(self) -> response.Response:
+        """Counts a request that is shed for lack of memory and returns its response."""
+        self.counters.add("reqs_over_memory")
+        return response.overloaded(self.settings)
+
     def sweep(self) -> None:
         """Applies the timeouts of all connections, again and again."""
         while True:
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -19,6 +19,8 @@
 BUFFER_VIEW = memoryview(BUFFER)
 MAX_HEAD_BYTES = 16 * 1024  # as common servers allow
 MAX_BODY_BYTES = 64 * 1024  # the protocol's limit
+MAX_HEADER_LINES = 100  # as common servers allow
+HEADER_LINE_BYTES = 400  # that a header line takes in memory beside its own bytes, as objects
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
 HOP_BY_HOP = frozenset(  # headers that hold for one connection only
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect".split(b" ")
@@ -81,11 +83,12 @@
 
     def reset(self) -> None:
         """Prepares for the next request."""
-        self.message, self.body_chunks = Message(), []
+        # One buffer for the body: an object for each chunk would take many times the bytes of a short one.
+        self.message, self.body, self.chunks = Message(), bytearray(), 0
         self.in_head, self.complete = True, False
         self.expects_continue = False  # the client waits for status 100 before it sends the body
         self.head_tail = b""  # the last bytes of an incomplete head, as HEAD_END may come in two reads
-        self.head_bytes, self.body_bytes, self.remaining_body_bytes = 0, 0, 0
+        self.head_bytes, self.remaining_body_bytes = 0, 0
         self.framing = ChunkFraming()
         self.error_status = 400  # for the client if the parser fails
 
@@ -94,10 +97,15 @@
         """Whether any byte of the current request has been parsed."""
         return self.head_bytes > 0
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the current request takes, in bytes."""
+        return self.head_bytes + HEADER_LINE_BYTES * len(self.message.headers) + len(self.body)
+
     def take_message(self) -> Message:
         """Returns the complete request and prepares for the next one."""
         message = self.message
-        message.body = b"".join(self.body_chunks)
+        message.body = bytes(self.body)
         self.reset()
         return message
 
@@ -107,7 +115,7 @@
         position = 0
         while position < len(data) and not self.complete:
             is_chunked, size = self.is_chunked, self.parsable_bytes(data[position:])
-            body_bytes, chunks = self.body_bytes, len(self.body_chunks)
+            body_bytes, chunks = len(self.body), self.chunks
             try:
                 self.parser.feed_data(data[position : position + size])
             except httptools.HttpParserUpgrade:
@@ -121,7 +129,7 @@
                 self.message.keep_alive = False  # invalid bytes right after a chunked body
             position += size
             if is_chunked and not self.complete:
-                self.framing.add(size, self.body_bytes - body_bytes, len(self.body_chunks) - chunks)
+                self.framing.add(size, len(self.body) - body_bytes, self.chunks - chunks)
                 if self.framing.is_too_long:
                     raise HttpError(413)
         return position
@@ -162,8 +170,11 @@
             self.message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.in_head:  # trailers of a chunked body do not count as headers
-            self.message.add_header(name, value)
+        if not self.in_head:
+            return  # trailers of a chunked body do not count as headers
+        if len(self.message.headers) >= MAX_HEADER_LINES:
+            self.reject(431)
+        self.message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         if self.complete:
@@ -197,10 +208,10 @@
     def on_body(self, data: bytes) -> None:
         if self.complete:
             return
-        self.body_bytes += len(data)
-        if self.body_bytes > MAX_BODY_BYTES:
+        if len(self.body) + len(data) > MAX_BODY_BYTES:
             self.reject(413)
-        self.body_chunks.append(data)
+        self.chunks += 1
+        self.body += data
 
     def on_message_complete(self) -> None:
         if not self.complete:
--- a/myrtleroad/net/node_config.py
+++ b/myrtleroad/net/node_config.py
@@ -15,6 +15,7 @@
     from myrtleroad.config import rules
 
 Address = tuple[str, int]
+DEFAULT_MEMORY_MB = 192.0  # where the configuration names no limit
 PHASES = {
     "trial": interface.RolloutPhase.ON_TRIAL,
     "rolling_back": interface.RolloutPhase.GOING_BACK,
@@ -88,6 +89,7 @@
     kinds: dict[str, int]
     connect_ms: float
     idle_ms: float
+    memory_mb: float
 
     def limits(self, cap: float | None = None, control: str | None = None) -> "rules.FrontLimits":
         """Limits that a configuration version is checked against. ``cap`` is the latest one received for a
@@ -232,6 +234,7 @@
             kinds=kinds,
             connect_ms=ns_to_ms(settings_data["limits"]["connect_timeout"]),
             idle_ms=ns_to_ms(settings_data["limits"]["idle_close"]),
+            memory_mb=bounded_number(data["limits"].get("memory_mb", DEFAULT_MEMORY_MB)),
         )
     except DECODE_ERRORS as error:
         raise ConfigError(f"configuration invalid: {type(error).__name__}: {error}") from None
@@ -250,6 +253,7 @@
         "kinds",
         "connect_ms",
         "idle_ms",
+        "memory_mb",
     )
     return [name for name in names if getattr(old, name) != getattr(new, name)]
 
