What servers, discovery and the control service send is bounded in memory too

Change: one buffer for an answer's body and for an object; 100 header lines; an idle connection keeps nothing; the lines of a read are one message; 4,096 servers, names of 256 characters, over which the stream is unreadable; numbers are dropped as servers leave (the decision module keeps nothing of them by then); 1,024 unread frames. Why this works: what a front holds of a peer follows the bytes it may send, and those have limits.

--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -40,6 +40,7 @@
 # would run other greenlets, but read no socket until 50 of them had run.
 SLICE_PAUSE_S = 0.004
 READ_BYTES = 64 * 1024
+MAX_UNREAD_FRAMES = 1024  # that wait for the ledger before more are read
 
 
 @dataclass(slots=True, frozen=True)
@@ -307,6 +308,8 @@
             while data := sock.recv(READ_BYTES):
                 for frame in decoder.feed(data):
                     self.mailbox.put(FrameReceived(number, frame))
+                while self.mailbox.qsize() > MAX_UNREAD_FRAMES:
+                    gevent.sleep(SLICE_PAUSE_S)  # what is not read stays in the system's buffer
                 current_turn().wait_if_over()
         except (OSError, FrameError) as error:
             reason = f"{type(error).__name__}: {error}"
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -32,6 +32,8 @@
 HEARTBEAT_MS = 2000.0  # interval of empty lines while nothing changes (protocol)
 # for a separate request of the whole list: a service that queues its callers takes as long
 FETCH_TIMEOUT_S = 2.5
+MAX_SERVERS = 4096  # more than a list of the largest size names; each takes some 13 kB
+TOO_MANY_SERVERS = f"more than {MAX_SERVERS} servers"
 LIST_KEY = b'"generation"'  # a key of every list and of no server entry
 RESTRICTIONS = {
     interface.ServerStatus.IN_SERVICE: Restriction.NONE,
@@ -121,12 +123,24 @@
             return
         self.count_message()
         message = self.decode_list(object_text, self.sources[stream.number])
+        if self.holds_too_many_with(message):
+            raise ValueError(TOO_MANY_SERVERS)
         watched = stream.has_delivered and self.stream_follower.freshness is interface.ListFreshness.FRESH
         change = self.server_list.apply_message(message, self.stream_follower.is_sole_source(stream.number))
         if message.source == self.server_list.source:
             self.received(stream, version=message.version, entries=len(message.entries))
         self.apply_change(change, watched)
 
+    def holds_too_many_with(self, message: ListMessage[ListedServer]) -> bool:
+        """Whether the front would hold more than ``MAX_SERVERS`` with this message."""
+        if message.whole:
+            return len(message.entries) > MAX_SERVERS
+        held_back = self.server_list.held_back
+        held_back_entries = held_back.entries if held_back is not None else {}
+        if len(self.server_list.entries) + len(held_back_entries) + len(message.entries) <= MAX_SERVERS:
+            return False
+        return len(self.server_list.entries | held_back_entries | message.entries) > MAX_SERVERS
+
     def stream_gone(self, stream: Stream) -> None:
         source = self.sources.pop(stream.number, self.server_list.source)
         self.readers.pop(stream.number, None)
@@ -198,6 +212,9 @@
         if message.message is None:
             self.log("list whole missed", why=message.error)
             return self.apply_change(ListChange(False, {}, refetch_reason=message.error))
+        if self.holds_too_many_with(message.message):
+            self.log("list whole missed", why=TOO_MANY_SERVERS)
+            return None
         change = self.server_list.apply_fetched(message.message)
         if change is not None and not change.refetch_reason:
             self.fetch_backoff.failures = 0
--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -116,9 +116,10 @@
         # removed as each timer expires
         self.timers: list[tuple[float, int, RequestCoroutine | None, int]] = []
         self.timer_count = 0
-        # server number by ID; grows with the fleet, never with requests
+        # server number by ID, and the reverse; entries are removed as servers leave the list
         self.server_numbers: dict[str, int] = {}
-        self.server_ids: list[str] = []  # server ID by number
+        self.server_ids: dict[int, str] = {}
+        self.servers_numbered = 0
         self.servers: dict[int, UpstreamServer] = {}  # entries are removed as servers leave the list
         # address and start time of each server, removed with it
         self.server_places: dict[int, tuple[Address, float]] = {}
@@ -495,10 +496,7 @@
         """Apply a server list to the module and to the servers' actors, before any attempt that follows."""
         self.record_starts(listing, now)
         for server in listing.servers:
-            number = self.server_numbers.setdefault(server.server_id, len(self.server_numbers))
-            if number == len(self.server_ids):
-                self.server_ids.append(server.server_id)
-            server.entry.server = number
+            number = server.entry.server = self.server_number(server.server_id)
             place = (server.address, server.entry.started_at)
             if number not in self.servers:
                 server_args = (
@@ -530,3 +528,13 @@
         for number in [number for number in self.servers if number not in self.balancer.servers]:
             self.servers.pop(number).mailbox.put(ServerRemoved())
             del self.server_places[number]
+            del self.server_numbers[self.server_ids.pop(number)]
+
+    def server_number(self, server_id: str) -> int:
+        """The number of a server; a server that has left the list and returns gets another one."""
+        number = self.server_numbers.get(server_id)
+        if number is None:
+            number = self.server_numbers[server_id] = self.servers_numbered
+            self.server_ids[number] = server_id
+            self.servers_numbered += 1
+        return number
--- a/myrtleroad/net/exchange_result.py
+++ b/myrtleroad/net/exchange_result.py
@@ -39,11 +39,11 @@
 
 @dataclass(slots=True)
 class UpstreamResponse:
-    """A response received from a peer; the body in the chunks in which it came."""
+    """A response received from a peer; the body in any number of parts."""
 
     status: int
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
+    body: list[bytes | bytearray] = field(default_factory=list)
     keep_alive: bool = True
 
     def header(self, name: bytes) -> bytes | None:
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -221,8 +221,7 @@
 
 class ResponseParser:
     """Parses the responses on one connection to a peer. A body has at most ``max_body_bytes`` bytes; with
-    ``stream``, a chunked body has no limit, and the caller removes its chunks from ``response.body`` as they
-    come."""
+    ``stream``, a chunked body has no limit, and the caller removes what has come from ``response.body``."""
 
     def __init__(self, stream: bool = False, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.parser = httptools.HttpResponseParser(self)
@@ -254,14 +253,22 @@
             if self.framing.is_too_long:
                 raise HttpError(502)
 
+    def take_response(self) -> UpstreamResponse:
+        """Returns the complete response and keeps nothing of it: a connection may stay idle for long."""
+        response, self.response = self.response, UpstreamResponse(0)
+        return response
+
     def on_message_begin(self) -> None:
         """Called by httptools, as the other ``on_`` methods."""
         if self.complete:
             self.response.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete and self.in_head:
-            self.response.headers.append((name, value))
+        if self.complete or not self.in_head:
+            return
+        if len(self.response.headers) >= MAX_HEADER_LINES:
+            raise HttpError(502)
+        self.response.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         if self.complete:
@@ -287,7 +294,10 @@
         if self.body_bytes > self.max_body_bytes and not self.stream:
             raise HttpError(502)
         self.chunks += 1
-        self.response.body.append(data)
+        if not self.response.body:
+            self.response.body.append(bytearray())
+        # One buffer: an object for each chunk would take many times the bytes of a short one.
+        self.response.body[-1] += data
 
     def on_message_complete(self) -> None:
         if self.complete:
--- a/myrtleroad/net/json_stream.py
+++ b/myrtleroad/net/json_stream.py
@@ -17,33 +17,33 @@
     """Reads the objects of one stream. Blank lines between objects are heartbeats; a blank line within an
     object, or the beginning of another one, shows that the first was truncated."""
 
-    __slots__ = ("depth", "lines", "size", "top_level_key")
+    __slots__ = ("depth", "text", "top_level_key")
 
     def __init__(self, top_level_key: bytes):
         self.top_level_key = top_level_key  # a key of every whole object and of no object nested in it
-        self.lines: list[bytes] = []  # of an object that is not complete
-        self.depth, self.size = 0, 0
+        self.text = bytearray()  # of an object that is not complete
+        self.depth = 0
 
     def feed(self, raw_line: bytes) -> bytes | None:
         """The object that ends with this line, or None. Raises ValueError if the line cannot be part of an
         object."""
         line = raw_line.strip()
-        if not line and not self.lines:
+        if not line and not self.text:
             return None
         self.check(line)
-        self.lines.append(line)
-        self.size += len(line)
+        self.text += line
+        self.text += b"\n"
         self.depth += nesting_change(line)
-        if self.size > MAX_OBJECT_BYTES:
+        if len(self.text) > MAX_OBJECT_BYTES:
             raise ValueError("object too long")
         if self.depth > 0:
             return None
-        object_text, self.lines, self.depth, self.size = b"\n".join(self.lines), [], 0, 0
+        object_text, self.text, self.depth = bytes(self.text), bytearray(), 0
         return object_text
 
     def check(self, line: bytes) -> None:
         """Raise ValueError if the line cannot be the next one."""
-        if not self.lines:
+        if not self.text:
             if not line.startswith(b"{"):
                 raise ValueError("not an object")
         elif not line or (line.startswith(b"{") and self.top_level_key in line):
--- a/myrtleroad/net/node_config.py
+++ b/myrtleroad/net/node_config.py
@@ -15,6 +15,7 @@
     from myrtleroad.config import rules
 
 Address = tuple[str, int]
+MAX_NAME_CHARACTERS = 256  # of a server's ID or address, as long as a DNS name with a port
 DEFAULT_MEMORY_MB = 192.0  # where the configuration names no limit
 PHASES = {
     "trial": interface.RolloutPhase.ON_TRIAL,
@@ -118,8 +119,8 @@
 def parse_address(text: str) -> Address:
     """Split ``host:port``. Raises ValueError."""
     host, _, port = text.rpartition(":")
-    if not host or not 0 <= int(port) < 65536:
-        raise ValueError(f"not an address: {text}")
+    if not host or len(text) > MAX_NAME_CHARACTERS or not 0 <= int(port) < 65536:
+        raise ValueError(f"not an address: {text[:MAX_NAME_CHARACTERS]}")
     return host, int(port)
 
 
@@ -147,6 +148,8 @@
 
 def listed_server(fields: dict[str, Any], zones: dict[str, int], kinds: dict[str, int]) -> ListedServer:
     """Decode one server entry of discovery. Raises one of ``DECODE_ERRORS``."""
+    if len(str(fields["instanceId"])) > MAX_NAME_CHARACTERS:
+        raise ValueError("instanceId too long")
     return ListedServer(
         server_id=str(fields["instanceId"]),
         address=parse_address(fields["hostPort"]),
--- a/myrtleroad/net/response.py
+++ b/myrtleroad/net/response.py
@@ -23,7 +23,7 @@
     kind: str
     status: int
     header_lines: list[bytes]
-    body: list[bytes]
+    body: list[bytes | bytearray]
 
     def serialize(self, close: bool) -> list[bytes]:
         """Returns the bytes of the response; ``close`` announces that the connection ends with it."""
@@ -43,7 +43,7 @@
         for name, value in upstream.headers
         if name.lower() not in STRIPPED_HEADERS
     ]
-    # The body is one part, however many chunks came: the parts of a gathered write are limited (IOV_MAX).
+    # The body is one part: the parts of a gathered write are limited (IOV_MAX).
     return Response("completed", 200, header_lines, [b"".join(upstream.body)])
 
 
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -50,11 +50,11 @@
 
 
 @dataclass(slots=True)
-class LineReceived:
-    """One line of a stream, without its end."""
+class LinesReceived:
+    """The lines that one read of a stream has completed, without their ends."""
 
     stream: "Stream"
-    line: bytes
+    lines: list[bytes]
 
 
 @dataclass(slots=True)
@@ -174,11 +174,9 @@
             return
         *lines, rest = bytes(self.partial_line).split(b"\n")
         self.partial_line = bytearray(rest)
-        is_first, previous = True, b""
-        for line in lines:
-            if line or previous or is_first:
-                self.post(LineReceived(self, line))
-            is_first, previous = False, line
+        previous_lines = [b"-", *lines]  # an empty first line is passed on
+        kept = [line for line, previous in zip(lines, previous_lines, strict=False) if line or previous]
+        self.post(LinesReceived(self, kept))
 
     def close(self) -> None:
         """Stop reading and close the connection."""
@@ -248,10 +246,11 @@
                 if address != self.address:
                     self.address = address
                     self.execute(self.stream_follower.address_changed(now))
-            case LineReceived(stream, line):
-                if self.streams.get(stream.number) is stream:
-                    self.execute(self.stream_follower.bytes_received(stream.number, now))
-                    self.read_line(stream, line)
+            case LinesReceived(stream, lines):
+                for line in lines:
+                    if self.streams.get(stream.number) is stream:
+                        self.execute(self.stream_follower.bytes_received(stream.number, now))
+                        self.read_line(stream, line)
             case StreamEnded(stream, reason, connected):
                 if self.streams.pop(stream.number, None) is stream:
                     self.stream_ended(stream, reason, connected)
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -325,7 +325,7 @@
                 parser.feed(data)
                 if not parser.complete:
                     current_turn().wait_if_over()
-            return parser.response
+            return parser.take_response()
         except TimeoutError:
             return ExchangeFailure(progress, FailureCause.TIMEOUT)
         except http1.HttpError:
