--- a/review/7/case.py
+++ b/review/7/case.py
@@ -78,9 +78,10 @@
         )
         for name in ("n1", "n2")
     ]
+    options = ["--listen", f"127.0.0.1:{port}", "--rings", "1", "--watch", "1"]
     with (folder / "control.log").open("ab") as log:
         service = subprocess.Popen(
-            f"{PYTHON} -m myrtleroad control serve {versions} --listen 127.0.0.1:{port} --rings 1 --watch 1".split(),
+            [PYTHON, "-m", "myrtleroad", "control", "serve", str(versions), *options],
             cwd=fleet.ROOT,
             stdout=log,
             stderr=log,
