--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -92,7 +92,10 @@
         self.name, self.zone, self.record, self.one_way_s = name, zone, record, one_way_s
         self.build, self.started_ms, self.lifecycle = 41, 0, "in_service"
         self.mean_s = 0.02
-        self.hung = False
+        self.hung, self.full_share = (
+            False,
+            0.0,
+        )  # full_share: of the requests, turned away as its queue is full
         self.runs: list[tuple[str, float]] = []  # id and time of each request that it has run
         self.writers: set[asyncio.StreamWriter] = set()
         self.after_answer: Callable[[Wire, bytes], None] = lambda wire, answer: None
@@ -114,10 +117,14 @@
                 self.record.write("attempt", machine=self.name, txn=txn, line=first.replace(" ", "_"))
                 if self.hung:
                     await asyncio.sleep(3600)
-                self.runs.append((txn, self.record.now()))
-                await asyncio.sleep(random.expovariate(1 / self.mean_s))
-                answer = http_response(200, answer_body(txn))
-                self.record.write("answered", machine=self.name, txn=txn)
+                if random.random() < self.full_share:
+                    answer = http_response(503, X_Turned_Away="1")
+                    self.record.write("turned away", machine=self.name, txn=txn)
+                else:
+                    self.runs.append((txn, self.record.now()))
+                    await asyncio.sleep(random.expovariate(1 / self.mean_s))
+                    answer = http_response(200, answer_body(txn))
+                    self.record.write("answered", machine=self.name, txn=txn)
                 wire.send(answer)
                 self.after_answer(wire, answer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
@@ -280,6 +287,15 @@
         data = "&".join(f"{name}={value}" for name, value in self.fields().items())
         return chunk(f"event: progress\ndata: {data}\n\n".encode())
 
+    def vote_answer(self) -> bytes:
+        """The answer to a vote that counts: the state of the newest build."""
+        items = "".join(f"<{name}>{value}</{name}>" for name, value in self.fields().items())
+        text = f'<?xml version="1.0"?>\n<Response><entries><item>{items}</item></entries></Response>'
+        return http_response(200, text.encode())
+
+    def answer_vote(self, form: str, writer: asyncio.StreamWriter) -> None:
+        writer.write(self.vote_answer())
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             first, _, body = await read_message(reader)
@@ -290,9 +306,7 @@
                 self.streams.remove(writer)
                 return
             self.record.write("vote", form=body.decode())
-            items = "".join(f"<{name}>{value}</{name}>" for name, value in self.fields().items())
-            text = f'<?xml version="1.0"?>\n<Response><entries><item>{items}</item></entries></Response>'
-            writer.write(http_response(200, text.encode()))
+            self.answer_vote(body.decode(), writer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass  # the connection, or the run, has ended
         finally:
@@ -365,6 +379,18 @@
             await asyncio.sleep(0.05)
         raise TimeoutError(f"{self.name} is not ready")
 
+    async def restart(self, discovery: Discovery, platform: Platform, kill_after_s: float = 3.7) -> None:
+        """A planned restart: SIGTERM, SIGKILL if it still runs after its time, and a new start."""
+        self.record.write("SIGTERM", front=self.name)
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + kill_after_s
+        while self.process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        self.kill()
+        self.write_config(discovery, platform)
+        self.start()
+        await self.ready()
+
     def kill(self) -> None:
         """SIGKILL, and waits for the end."""
         if self.process is not None:
@@ -378,8 +404,8 @@
 class Answer:
     """What a client got: the status, or 0 if the connection ended, or -1 if nothing came in time."""
 
-    def __init__(self, txn: str, status: int, body: bytes, after_s: float):
-        self.txn, self.status, self.body, self.after_s = txn, status, body, after_s
+    def __init__(self, txn: str, lane: str, status: int, body: bytes, after_s: float):
+        self.txn, self.lane, self.status, self.body, self.after_s = txn, lane, status, body, after_s
 
 
 class Clients:
@@ -415,7 +441,7 @@
             try:
                 reader, writer, is_new = await self.connection()
             except OSError:
-                answer = Answer(txn, 0, b"", time.monotonic() - began)
+                answer = Answer(txn, lane, 0, b"", time.monotonic() - began)
                 break
             self.record.write("ask", txn=txn, lane=lane, new=is_new)
             try:
@@ -423,16 +449,16 @@
                 first, headers, text = await asyncio.wait_for(read_message(reader), timeout_ms / 1000 + 0.5)
             except TimeoutError:
                 writer.close()
-                answer = Answer(txn, -1, b"", time.monotonic() - began)
+                answer = Answer(txn, lane, -1, b"", time.monotonic() - began)
                 break
             except (OSError, asyncio.IncompleteReadError) as error:
                 writer.close()
                 partial = isinstance(error, asyncio.IncompleteReadError) and error.partial
-                answer = Answer(txn, 0, b"", time.monotonic() - began)
+                answer = Answer(txn, lane, 0, b"", time.monotonic() - began)
                 if is_new or partial:
                     break
                 continue  # the close crossed the request: once more on a new connection
-            answer = Answer(txn, int(first.split(" ")[1]), text, time.monotonic() - began)
+            answer = Answer(txn, lane, int(first.split(" ")[1]), text, time.monotonic() - began)
             if headers.get("connection", "").lower() == "close":
                 writer.close()
             else:
