Review case 7: a booking that comes with an offered upgrade runs with an empty body

Cause: http1.py takes the end of the head for the end of the message when a request offers an upgrade; the body is not passed on and is read as another request.

--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -97,6 +97,7 @@
             0.0,
         )  # full_share: of the requests, turned away as its queue is full
         self.runs: list[tuple[str, float]] = []  # id and time of each request that it has run
+        self.bodies: dict[str, bytes] = {}  # what each of them held
         self.writers: set[asyncio.StreamWriter] = set()
         self.after_answer: Callable[[Wire, bytes], None] = lambda wire, answer: None
         self.server: asyncio.Server | None = None
@@ -112,7 +113,7 @@
         wire = Wire(reader, writer, self.one_way_s)
         try:
             while True:
-                first, headers, _ = await wire.next_request()
+                first, headers, body = await wire.next_request()
                 txn = headers.get("x-txn", "")
                 self.record.write("attempt", machine=self.name, txn=txn, line=first.replace(" ", "_"))
                 if self.hung:
@@ -122,6 +123,7 @@
                     self.record.write("turned away", machine=self.name, txn=txn)
                 else:
                     self.runs.append((txn, self.record.now()))
+                    self.bodies[txn] = body
                     await asyncio.sleep(random.expovariate(1 / self.mean_s))
                     answer = http_response(200, answer_body(txn))
                     self.record.write("answered", machine=self.name, txn=txn)
@@ -428,14 +430,16 @@
         )
         return reader, writer, True
 
-    async def ask(self, lane: str, org: str, timeout_ms: int, unsafe: bool) -> Answer:
+    async def ask(
+        self, lane: str, org: str, timeout_ms: int, unsafe: bool, body: bytes = b"slot=1", more: str = ""
+    ) -> Answer:
         """Sends one request and waits for its answer, half a second past its time at most."""
         self.count += 1
         txn = f"{self.front.name}-{random.getrandbits(48):012x}"
-        method, body = ("POST", b"slot=1") if unsafe else ("GET", b"")
+        method, body = ("POST", body) if unsafe else ("GET", b"")
         head = f"{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\n"
         head += f"X-Org: {org}\r\nX-Remaining-Ms: {timeout_ms}\r\n"
-        head += f"Content-Length: {len(body)}\r\n" if unsafe else ""
+        head += more + (f"Content-Length: {len(body)}\r\n" if unsafe else "")
         began, answer = time.monotonic(), None
         for _ in range(2):
             try:
