Review case 7: a request that stands in the body of an offered upgrade is run

Change: one booking in 20 has a body that reads like a request; the case looks for ids that no client sent.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,12 @@
 SECONDS, PER_S, MACHINES = 20, 60, 8
 TENANT = fleet.TIRTASARI["tenant"]
 BODY = b"street=12&slot=2026-12-05T08"
+# A body is passed on whatever it holds. This one reads like a request; its id is none that a client sends.
+HIDING = (
+    b"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Txn: in-a-body-%d\r\nX-Lane: bulky-booking\r\n"
+    b"X-Org: wetan-asri\r\nX-Remaining-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
+)
+HIDING_SHARE = 0.05  # of the bookings
 # RFC 7540, 3.2: the offer comes with an ordinary HTTP/1.1 request, whose body is sent whole. RFC 9110, 7.8: a
 # server may ignore it and answers in HTTP/1.1 then.
 OFFER = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAAP__\r\n"
@@ -48,7 +54,8 @@
         def draw() -> tuple:
             offer = OFFER if trouble else ""
             if random.random() < 0.32:  # the share of the route
-                return "bulky-booking", TENANT, 2000, True, BODY, offer
+                body = HIDING % random.getrandbits(40) if random.random() < HIDING_SHARE else BODY
+                return "bulky-booking", TENANT, 2000, True, body, offer
             return "schedule-lookup", TENANT, 6000, False, b"", offer
 
         await clients.traffic(PER_S, SECONDS, draw)
@@ -56,12 +63,16 @@
         front.kill()
     bookings = [answer for answer in clients.answers if answer.lane == "bulky-booking"]
     ran = {txn: body for machine in machines for txn, body in machine.bodies.items()}
-    changed = [answer for answer in bookings if ran.get(answer.txn, BODY) != BODY]
+    changed = [answer for answer in bookings if ran.get(answer.txn, answer.sent) != answer.sent]
     served = sum(answer.status == 200 for answer in changed)
-    record.write("sum", bookings=len(bookings), body_changed=len(changed), of_these_answered_200=served)
+    unsent = sorted(ran.keys() - {answer.txn for answer in clients.answers})
+    record.write("sum", bookings=len(bookings), changed=len(changed), answered_200=served, unsent=len(unsent))
     print(f"{clients.count} asked, {len(bookings)} bookings, {len(changed)} run with another body,", end=" ")
-    print(f"{served} of these answered 200")
-    return [f"{one.txn} was sent with {BODY!r}, ran with {ran[one.txn]!r}, {one.status}" for one in changed]
+    print(f"{served} of these answered 200; {len(unsent)} requests run that no client sent")
+    return [f"{txn} ran, and no client sent it" for txn in unsent[:3]] + [
+        f"{one.txn} was sent with {one.sent[:28]!r}, ran with {ran[one.txn]!r}, {one.status}"
+        for one in changed
+    ]
 
 
 fleet.main(__file__, run)
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -408,6 +408,7 @@
 
     def __init__(self, txn: str, lane: str, status: int, body: bytes, after_s: float):
         self.txn, self.lane, self.status, self.body, self.after_s = txn, lane, status, body, after_s
+        self.sent = b""  # the body of the request
 
 
 class Clients:
@@ -471,6 +472,7 @@
         self.record.write(
             "got", txn=txn, status=answer.status, body=answer.body[:40].decode("latin-1").replace(" ", "_")
         )
+        answer.sent = body
         self.answers.append(answer)
         return answer
 
