--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,11 +29,11 @@
 class NewClients(fleet.Clients):
     """Clients that open a connection for each request and close it after the answer."""
 
-    async def connection(self):
+    async def connection(self, fresh: bool = False):
         for _, writer in self.idle:
             writer.close()
         self.idle.clear()
-        return await super().connection()
+        return await super().connection(fresh)
 
 
 async def run(record: fleet.Record, folder: Path, trouble: bool) -> list[str]:
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -420,8 +420,8 @@
         self.count, self.answers = 0, []
         self.tasks: set[asyncio.Task] = set()
 
-    async def connection(self):
-        while self.idle:
+    async def connection(self, fresh: bool = False):
+        while self.idle and not fresh:
             reader, writer = self.idle.pop()
             if not reader.at_eof() and not writer.is_closing():
                 return reader, writer, False
@@ -442,9 +442,9 @@
         head += f"X-Org: {org}\r\nX-Remaining-Ms: {timeout_ms}\r\n"
         head += more + (f"Content-Length: {len(body)}\r\n" if unsafe else "")
         began, answer = time.monotonic(), None
-        for _ in range(2):
+        for fresh in (False, True):
             try:
-                reader, writer, is_new = await self.connection()
+                reader, writer, is_new = await self.connection(fresh)
             except OSError:
                 answer = Answer(txn, lane, 0, b"", time.monotonic() - began)
                 break
