--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A front restarts after its operator has confirmed the version that all fronts hold."""
+"""A front comes later, after a version that nobody confirmed has gone back at every front."""
 
 import asyncio
 import random
@@ -11,12 +11,18 @@
 
 CONFIRM_S = 10  # the page allows 1 s to 1 h
 AFTER_S = 25  # of traffic after the restart
-VERSION = f"""version 1 confirm=(s){CONFIRM_S}
-networks default="admit" {{
+FIRST = """version 1
+networks default="admit" {
     refuse "127.0.0.9/32"
-}}
-aside {{
+}
+aside {
     machine "s-0"
+}
+"""
+# A mistake: it shuts out the usual clients' network. Its operator asked for a confirmation and gives none.
+MISTAKE = f"""version 2 confirm=(s){CONFIRM_S}
+networks default="admit" {{
+    refuse "127.0.0.2/32"
 }}
 """
 LANES = [
@@ -40,28 +46,30 @@
     await discovery.open()
     await platform.open()
     service = operators.ControlService(folder, record)
-    told = fleet.settings(fleet.TIRTASARI, LANES, balancers=2)
-    fronts = [fleet.Front(name, folder, record, told, service.options) for name in ("n1", "n2")]
+    told = fleet.settings(fleet.TIRTASARI, LANES, balancers=3)
+    fronts = [fleet.Front(name, folder, record, told, service.options) for name in ("n1", "n2", "n3")]
+    first = fronts[:2] if trouble else fronts  # the third comes later
     try:
         await service.start()
-        for front in fronts:
+        for front in first:
             front.write_config(discovery, platform)
             front.start()
-        for front in fronts:
+        for front in first:
             await front.ready()
         await asyncio.sleep(1.5)  # until the fronts have connected to the control service
-        await service.publish(VERSION)
-        await service.held(1, 2, 6)
-        said = await service.confirm()
-        if "confirmed to 2 fronts" not in said:
-            raise RuntimeError(said)
-        await asyncio.sleep(CONFIRM_S + 2)
-        await service.held(1, 2, 1)  # it was confirmed in time, so it stays
+        await service.publish(FIRST)
+        await service.held(1, len(first), 6)
+        await asyncio.sleep(2)  # until its rollout is done
+        await service.publish(MISTAKE)
+        await service.held(2, len(first), 6)
+        await service.held(1, len(first), CONFIRM_S + 3)  # it went back by itself at each of them
         if trouble:
-            await fronts[0].restart(discovery, platform)
-        await service.held(1, 2, 10)  # the page: fronts that come later get what all hold
+            fronts[2].write_config(discovery, platform)
+            fronts[2].start()
+            await fronts[2].ready()
+            await asyncio.sleep(2)  # it takes what the control service offers
         began = record.now()
-        usual = [fleet.Clients(front, record) for front in fronts]
+        usual = [fleet.Clients(front, record, "127.0.0.2") for front in fronts]
         refused = [fleet.Clients(front, record, "127.0.0.9") for front in fronts]
         await asyncio.gather(
             *(clients.traffic(30, AFTER_S, draw) for clients in usual),
@@ -79,11 +87,18 @@
         for answer in clients.answers
         if answer.status == 200
     ]
+    shut_out = [
+        f"{answer.txn} was answered 403 by version 2, which had gone back everywhere"
+        for clients in usual
+        for answer in clients.answers
+        if answer.status == 403
+    ]
     asked = sum(clients.count for clients in usual)
     served = sum(answer.status == 200 for clients in usual for answer in clients.answers)
-    record.write("sum", asked=asked, served=served, at_s0=len(aside), of_refused_network=len(let_in))
-    print(f"{asked} asked, {served} served, {len(aside)} ran at s-0, {len(let_in)} of the refused network")
-    return aside[:5] + let_in[:5]
+    sums = {"at_s0": len(aside), "of_refused_network": len(let_in), "shut_out": len(shut_out)}
+    record.write("sum", asked=asked, served=served, **sums)
+    print(f"{asked} asked, {served} served; {sums}")
+    return aside[:3] + let_in[:3] + shut_out[:3]
 
 
 fleet.main(__file__, run)
