--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -74,10 +74,13 @@
 
 
 def free_port() -> int:
-    """A port that is free now; the fronts need theirs before they start."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that is free now, below those that the system gives to outgoing connections: a front needs its
+    port some time before it starts."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def answer_body(txn: str) -> bytes:
