--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -97,7 +97,9 @@
         self.mean_s = 0.02
         self.hung = False
         self.runs: list[tuple[str, float]] = []  # id and time of each request that it has run
-        self.bodies: dict[str, bytes] = {}  # what each of them held
+        self.bodies: dict[str, bytes] = {}  # what each request held that came to it
+        # What clients sent, if the case says it: other requests get 400 and are not run (PROTOCOL.md).
+        self.sent: dict[str, bytes] | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.address = ""
@@ -117,8 +119,12 @@
                 self.record.write("attempt", machine=self.name, txn=txn, line=first.replace(" ", "_"))
                 if self.hung:
                     await asyncio.sleep(3600)
-                self.runs.append((txn, self.record.now()))
                 self.bodies[txn] = body
+                if self.sent is not None and self.sent.get(txn) != body:
+                    self.record.write("never sent so", machine=self.name, txn=txn, body=body[:30])
+                    wire.send(http_response(400))
+                    continue
+                self.runs.append((txn, self.record.now()))
                 await asyncio.sleep(random.expovariate(1 / self.mean_s))
                 answer = http_response(200, answer_body(txn))
                 self.record.write("answered", machine=self.name, txn=txn)
@@ -404,6 +410,7 @@
         self.front, self.record, self.host = front, record, host
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self.count, self.answers = 0, []
+        self.sent: dict[str, bytes] = {}  # id and body of each request
         self.tasks: set[asyncio.Task] = set()
 
     async def connection(self, fresh: bool = False):
@@ -424,6 +431,7 @@
         self.count += 1
         txn = f"{self.front.name}-{random.getrandbits(48):012x}"
         method, body = ("POST", body) if unsafe else ("GET", b"")
+        self.sent[txn] = body
         head = f"{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Txn: {txn}\r\nX-Lane: {lane}\r\n"
         head += f"X-Org: {org}\r\nX-Remaining-Ms: {timeout_ms}\r\n"
         head += more + (f"Content-Length: {len(body)}\r\n" if unsafe else "")
