--- a/myrtleroad/config/frames.py
+++ b/myrtleroad/config/frames.py
@@ -23,6 +23,7 @@
     5: "back",  # front: an acknowledged version was rolled back
     6: "alive",  # either: a heartbeat, sent if nothing else was
     7: "bye",  # either: why this side ends the stream
+    8: "confirmed",  # front: a confirmed version is in force here
 }
 KIND_NUMBERS = {kind: number for number, kind in KINDS.items()}
 
--- a/myrtleroad/config/ledger.py
+++ b/myrtleroad/config/ledger.py
@@ -12,7 +12,7 @@
 the event loop; a newer offer replaces it meanwhile."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Any
 
@@ -26,7 +26,8 @@
     CONFIRMED = 3
     REFUSED = 4
     SUPERSEDED = 5  # a newer one arrived before the check ended, or came into force after it
-    ROLLED_BACK = 6  # its confirmation did not come in time, or applying it failed
+    ROLLED_BACK = 6  # its confirmation did not come in time
+    APPLY_FAILED = 7
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -50,6 +51,7 @@
     digest: str  # of the content
     confirm_ms: float | None = None
     body: Any = None  # opaque to the ledger; read by the check
+    confirmed: bool = False  # it required a confirmation and has got it
 
 
 # --- actions for the caller ---
@@ -149,6 +151,8 @@
         """Answers an offer, starts its check or queues it."""
         if offer.stream not in self.streams:
             return []
+        if offer.confirmed:
+            self.confirm_received(offer.version)
         answer = self.known_answer(offer)
         if answer is not None:
             return [answer]
@@ -195,8 +199,13 @@
             return self.refusal(
                 offer, "other-content", f"{describe_version(offer.version)} is in force with other content"
             )
+        if self.was_confirmed_late(offer):
+            return None
         for past_version in self.past:
-            if past_version.version == offer.version and past_version.state == VersionState.ROLLED_BACK:
+            if past_version.version == offer.version and past_version.state in (
+                VersionState.ROLLED_BACK,
+                VersionState.APPLY_FAILED,
+            ):
                 return self.refusal(
                     offer, "rolled-back", f"{describe_version(offer.version)} was rolled back here"
                 )
@@ -212,6 +221,21 @@
             return self.refusal(offer, "older", f"{describe_version(self.highest)} has been in force")
         return None
 
+    def was_confirmed_late(self, offer: Offer) -> bool:
+        """Whether this front rolled the version back because its confirmation did not arrive in time, though
+        it has been confirmed. Guards against a front that stays without a version that the operator has
+        confirmed."""
+        return (
+            offer.confirmed
+            and offer.version > self.in_force.version
+            and offer.version.epoch == self.highest.epoch
+            and any(
+                (past_version.version, past_version.digest) == (offer.version, offer.digest)
+                and past_version.state == VersionState.ROLLED_BACK
+                for past_version in self.past
+            )
+        )
+
     def check_finished(
         self, nonce: int, stream: int, code: str = "", text: str = "", path: tuple[str, ...] = ()
     ) -> list[LedgerAction]:
@@ -241,7 +265,7 @@
             return []
         offer, self.in_progress = self.in_progress[0], None
         if fault:
-            self.past.append(HeldVersion(version, offer.digest, VersionState.ROLLED_BACK))
+            self.past.append(HeldVersion(version, offer.digest, VersionState.APPLY_FAILED))
             return self.if_stream_open(self.refusal(offer, "apply", fault)) + self.check_pending()
         if self.in_force.version != NO_VERSION:
             self.past.append(
@@ -259,13 +283,23 @@
         )
 
     def confirm_received(self, version: VersionId) -> bool:
-        """The operator has confirmed a version. Returns whether it was waiting for that."""
-        if version != self.in_force.version or self.confirm_deadline_ms is None:
+        """The operator has confirmed a version. Returns whether it is in force here, confirmed. If it is
+        still being checked or applied, it will need no confirmation once it is in force."""
+        if version != self.in_force.version:
+            self.confirm_ahead(version)
             return False
         self.confirm_deadline_ms, self.in_force.state = None, VersionState.CONFIRMED
         self.last_good = self.in_force
         return True
 
+    def confirm_ahead(self, version: VersionId) -> None:
+        """Records the confirmation of a version that was offered and is not in force yet."""
+        if self.in_progress is not None and self.in_progress[0].version == version:
+            offer, state = self.in_progress
+            self.in_progress = (replace(offer, confirm_ms=None, confirmed=True), state)
+        if self.pending is not None and self.pending.version == version:
+            self.pending = replace(self.pending, confirm_ms=None, confirmed=True)
+
     def tick(self, now: float) -> list[LedgerAction]:
         """Rolls back a version that was not confirmed in time to the last good one. Guards against a
         change that cuts off the connection over which it could be taken back."""
--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -96,9 +96,15 @@
 @control.command()
 @click.argument("folder", type=FOLDER)
 def confirm(folder: Path) -> None:
-    """Confirm the version that is being rolled out, at every front that holds it."""
+    """Confirm the version that is being rolled out, for all fronts. Names the number of fronts that hold it
+    as confirmed by now; the others get it as confirmed."""
     reply = call_or_fail(folder, call="confirm")
+    if not reply["required"]:
+        click.echo(f"version {reply['number']} needs no confirmation; {reply['fronts']} fronts hold it")
+        return
     click.echo(f"version {reply['number']} confirmed to {reply['fronts']} fronts")
+    for name in reply["waiting"]:
+        click.echo(f"  {name} has not acknowledged yet; it is told again when it connects")
 
 
 @control.command()
--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -11,6 +11,8 @@
 
 import orjson
 
+from myrtleroad.control.confirmation import ConfirmationState, initial_confirmation
+
 STATE = "state.json"
 
 
@@ -29,6 +31,14 @@
     confirm_ms: float | None = None
     note: str = ""
     of: int | None = None  # the number of the version that this one restores
+    confirmation: ConfirmationState = ConfirmationState.NOT_REQUIRED
+
+    @classmethod
+    def from_stored(cls, stored: dict) -> "Published":
+        """A version from state.json. Raises KeyError, TypeError or ValueError."""
+        fields = {"confirmation": initial_confirmation(stored["confirm_ms"]), **stored}
+        fields["confirmation"] = ConfirmationState(fields["confirmation"])
+        return cls(**fields)
 
 
 @dataclass(slots=True)
@@ -61,7 +71,7 @@
             return State()
         try:
             stored = orjson.loads(file.read_bytes())
-            versions = [Published(**version) for version in stored["published"]]
+            versions = [Published.from_stored(version) for version in stored["published"]]
             fronts = [str(name) for name in stored["fronts"]]
             halted = str(stored["halted"])
             return State(
--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -122,6 +122,21 @@
 
     # --- events ---
 
+    def confirmed(self, now: float) -> list[RolloutAction]:
+        """The version has been confirmed. Fronts that had rolled it back already get it again."""
+        for record in self.fronts.values():
+            if record.state == FrontState.BACK:
+                record.state, record.code, record.text = FrontState.WAITING, "", ""
+        return self.advance(now)
+
+    def holders(self) -> set[str]:
+        """Names of the connected fronts that hold the version or are taking it."""
+        return {
+            record.name
+            for record in self.fronts.values()
+            if record.connected and (record.holds == self.version or record.state == FrontState.OFFERED)
+        }
+
     def publish(self, version: VersionId, now: float) -> list[RolloutAction]:
         """Starts the rollout of a version. A rollout in progress ends where it is: its fronts are
         offered the new version with their ring. Raises ValueError if the version does not increase."""
@@ -212,14 +227,23 @@
         return self.advance(now)
 
     def front_rolled_back(
-        self, front: str, version: VersionId, back_to: VersionId, reason: str, now: float
+        self,
+        front: str,
+        version: VersionId,
+        back_to: VersionId,
+        reason: str,
+        now: float,
+        is_confirmed: bool = False,
     ) -> list[RolloutAction]:
-        """A front has rolled back a version by itself."""
+        """A front has rolled back a version by itself. If the version is confirmed, the confirmation came
+        too late at this front only, and it is offered the version again."""
         record = self.fronts.get(front)
         if record is None:
             return []
         record.holds = back_to
-        if version == self.version:
+        if version == self.version and is_confirmed:
+            record.state = FrontState.WAITING
+        elif version == self.version:
             record.state, record.code, record.text = FrontState.BACK, "rolled-back", reason
         return self.advance(now)
 
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -22,6 +22,7 @@
 from myrtleroad.config.frames import Frame, FrameDecoder, FrameError, encode_frame
 from myrtleroad.config.ledger import NO_VERSION, VersionId
 from myrtleroad.config.scanner import MAX_DOCUMENT_BYTES
+from myrtleroad.control.confirmation import ConfirmationCall, ConfirmationState, initial_confirmation
 from myrtleroad.control.folder import Folder, Published
 from myrtleroad.control.numbering import FIRST_EPOCH, NumberTaken, worth_as_difference
 from myrtleroad.control.numbering import next_number as next_version_number
@@ -81,6 +82,11 @@
     reply: Callable[[dict[str, Any]], None]
 
 
+def decode_version_id(fields: dict[str, Any]) -> VersionId:
+    """The version that a frame names. Raises KeyError, TypeError or ValueError."""
+    return VersionId(int(fields["epoch"]), int(fields["number"]))
+
+
 class CallRefused(Exception):
     """An operator's call was refused; the text is sent as the answer."""
 
@@ -109,6 +115,7 @@
         self.versions: dict[VersionId, Published] = {}
         for published in self.state.published:
             self.add_version(published)
+        self.confirmation_calls: list[ConfirmationCall] = []  # each is answered in time by ``end_calls``
         self.unsaved = False  # the state in memory could not be saved yet
         self.carry_out(
             self.rollout.resume(max(self.versions, default=NO_VERSION), self.state.halted, clock())
@@ -151,6 +158,8 @@
             self.stop.wait()
             for stream in list(self.streams.values()):
                 stream.put(encode_frame("bye", why="the control service is stopping"))
+            for call in self.confirmation_calls:
+                call.answer()
             gevent.sleep(0.05)
         finally:
             gevent.killall(workers, block=False)
@@ -163,7 +172,7 @@
     def process_messages(self) -> None:
         """The loop of the actor: handles messages and timeouts one after the other."""
         while True:
-            wait_s = max(0.001, min(self.rollout.next_deadline(self.clock()) - self.clock(), 1000.0) / 1000)
+            wait_s = max(0.001, min(self.next_deadline(self.clock()) - self.clock(), 1000.0) / 1000)
             message = None
             with gevent.Timeout(wait_s, False):
                 message = self.mailbox.get()
@@ -176,11 +185,16 @@
                     self.operator_called(message, now)
                 else:
                     self.frame_received(message.stream, message.frame, now)
+                self.end_calls(now)
             except Exception as error:  # an error of one front or operator must not end the service
                 self.log("fault", error=f"{type(error).__name__}: {error}")
                 if isinstance(message, FrameReceived):
                     message.stream.close()
 
+    def next_deadline(self, now: float) -> float:
+        """When something is due at the latest without a message."""
+        return min([self.rollout.next_deadline(now), *(call.ends_at_ms for call in self.confirmation_calls)])
+
     def frame_received(self, stream: FrontStream, frame: Frame | None, now: float) -> None:
         """Handles a frame of a front, or the end of its stream."""
         if frame is None:
@@ -191,25 +205,20 @@
         fields = frame.fields
         match frame.kind:
             case "hello":
-                holds = fields["holds"]
-                stream.name, stream.holds = (
-                    str(fields["name"]),
-                    VersionId(int(holds["epoch"]), int(holds["number"])),
-                )
+                stream.name, stream.holds = str(fields["name"]), decode_version_id(fields["holds"])
                 if (old := self.streams.get(stream.name)) is not None and old is not stream:
                     old.close()  # the front has reconnected before its old stream ended
                 self.streams[stream.name] = stream
                 if stream.name not in self.rollout.fronts:
                     self.state.fronts = [*self.rollout.fronts, stream.name]
                     self.save_state()
+                self.send_confirmation(stream)
                 self.carry_out(self.rollout.front_connected(stream.name, stream.holds, now))
             case "answer" if stream.name:
-                version_id, acked = (
-                    VersionId(int(fields["epoch"]), int(fields["number"])),
-                    bool(fields["acked"]),
-                )
+                version_id, acked = decode_version_id(fields), bool(fields["acked"])
                 if acked:
                     stream.holds = version_id
+                    self.send_confirmation(stream)
                 elif fields.get("code") == "base":
                     # Its base differs: sends the whole text.
                     self.offer(stream, version_id, whole=True)
@@ -220,14 +229,19 @@
                 )
                 self.carry_out(self.rollout.answer_received(stream.name, version_id, acked, *refusal, now))
             case "back" if stream.name:
-                back_to = fields["to"]
-                stream.holds = VersionId(int(back_to["epoch"]), int(back_to["number"]))
-                version_id = VersionId(int(fields["epoch"]), int(fields["number"]))
+                stream.holds = decode_version_id(fields["to"])
+                version_id, reason = decode_version_id(fields), str(fields.get("why", ""))
+                is_confirmed = self.confirmation_of(version_id) == ConfirmationState.CONFIRMED
                 self.carry_out(
                     self.rollout.front_rolled_back(
-                        stream.name, version_id, stream.holds, str(fields.get("why", "")), now
+                        stream.name, version_id, stream.holds, reason, now, is_confirmed
                     )
                 )
+            case "confirmed" if stream.name:
+                version_id = decode_version_id(fields)
+                for call in self.confirmation_calls:
+                    if call.version == version_id:
+                        call.front_confirmed(stream.name)
 
     def with_position(self, version_id: VersionId, text: str, path: list[str]) -> str:
         """Adds the position in the text to a refusal: a front that was sent a difference has no
@@ -267,8 +281,10 @@
             "number": version_id.number,
             "digest": published.digest,
         }
-        if published.confirm_ms is not None:
+        if published.confirmation == ConfirmationState.PENDING:
             fields["confirm_ms"] = published.confirm_ms
+        elif published.confirmation == ConfirmationState.CONFIRMED:
+            fields["confirmed"] = True
         delta_part = None if whole else self.delta_fields(stream.holds, version_id, len(published.text))
         if delta_part is not None:
             stream.put(encode_frame("offer", **fields, **delta_part))
@@ -291,8 +307,11 @@
     # --- operators ---
 
     def operator_called(self, call: OperatorCall, now: float) -> None:
-        """Handles an operator's call and answers it."""
+        """Handles an operator's call and answers it; a confirmation is answered later (``end_calls``)."""
         try:
+            if call.fields["call"] == "confirm":
+                self.confirm(call, now)
+                return
             reply = {"ok": True, **self.execute_call(call.fields, now)}
         except CallRefused as refused:
             reply = {"ok": False, "why": str(refused)}
@@ -307,15 +326,78 @@
                 return self.publish(str(fields["text"]), now)
             case "rollback":
                 return self.rollback(int(fields["to"]), now)
-            case "confirm":
-                version_id = self.rollout.version
-                for stream in self.streams.values():
-                    stream.put(encode_frame("confirm", epoch=version_id.epoch, number=version_id.number))
-                return {"number": version_id.number, "fronts": len(self.streams)}
             case "status":
                 return self.status()
         raise CallRefused(f"unknown call {fields['call']!r}")
 
+    # --- confirmations ---
+
+    def confirmation_of(self, version_id: VersionId) -> ConfirmationState:
+        """The state of the confirmation of a version; ``NOT_REQUIRED`` for versions no longer kept."""
+        published = self.versions.get(version_id)
+        return published.confirmation if published is not None else ConfirmationState.NOT_REQUIRED
+
+    def send_confirmation(self, stream: FrontStream) -> None:
+        """Confirms the version that a front holds, if it is confirmed: the front may have been away when that
+        happened, or be checking the version."""
+        held = stream.holds
+        if self.confirmation_of(held) == ConfirmationState.CONFIRMED:
+            stream.put(encode_frame("confirm", epoch=held.epoch, number=held.number))
+
+    def confirm(self, call: OperatorCall, now: float) -> None:
+        """Confirms the current version: first in the state, then at the fronts that hold or were offered it.
+        The call is answered once they have acknowledged that, or after a time. Raises CallRefused."""
+        version_id = self.rollout.version
+        published = self.versions.get(version_id)
+        if published is None:
+            raise CallRefused("there is no version to confirm")
+        holders = self.rollout.holders()
+        if published.confirmation == ConfirmationState.NOT_REQUIRED:
+            held = {"fronts": len(holders), "waiting": []}
+            call.reply({"ok": True, "number": published.number, "required": False, **held})
+            return
+        if published.confirmation == ConfirmationState.PENDING:
+            self.check_confirmable(published)
+            self.save_confirmation(published)
+            self.log("version confirmed", epoch=version_id.epoch, number=version_id.number)
+        ends_at = now + ConfirmationCall.ANSWER_TIMEOUT_MS
+        self.confirmation_calls.append(ConfirmationCall(version_id, holders, ends_at, call.reply))
+        for name in holders:
+            self.streams[name].put(encode_frame("confirm", epoch=version_id.epoch, number=version_id.number))
+        self.carry_out(self.rollout.confirmed(now))
+
+    def check_confirmable(self, published: Published) -> None:
+        """Raises CallRefused if the rollout of a version has failed: its fronts are to roll it back."""
+        if self.rollout.phase == VersionRolloutPhase.HALTED:
+            raise CallRefused(
+                f"the rollout of version {published.number} was halted ({self.rollout.halt_reason}); "
+                "publish another version"
+            )
+
+    def save_confirmation(self, published: Published) -> None:
+        """Saves a confirmation before any front hears of it. Raises CallRefused, and leaves the version
+        unconfirmed, if that can't be made durable now."""
+        published.confirmation, failure = ConfirmationState.CONFIRMED, "the folder cannot be synced"
+        try:
+            self.folder.save(self.state)
+            if self.folder.synced:
+                return
+        except OSError as error:
+            failure = str(error)
+        published.confirmation, self.unsaved = ConfirmationState.PENDING, True
+        raise CallRefused(
+            f"the confirmation of version {published.number} cannot be saved; confirm again: {failure}"
+        )
+
+    def end_calls(self, now: float) -> None:
+        """Answers the confirmations that all fronts have acknowledged or that have waited long enough."""
+        due = [call for call in self.confirmation_calls if call.is_due(now)]
+        self.confirmation_calls = [call for call in self.confirmation_calls if call not in due]
+        for call in due:
+            call.answer()
+
+    # --- publications ---
+
     def publish(self, text: str, now: float, restored_number: int | None = None) -> dict[str, Any]:
         """Checks, saves and rolls out a version. Raises CallRefused."""
         if len(text.encode()) > MAX_DOCUMENT_BYTES:
@@ -337,6 +419,7 @@
             parsed.confirm_ms,
             parsed.note,
             restored_number,
+            initial_confirmation(parsed.confirm_ms),
         )
         self.save_published(published)
         self.add_version(published)
@@ -409,6 +492,7 @@
             else None,
             "rings": len(rollout.plan.rings),
             "why": rollout.halt_reason,
+            "confirmation": self.confirmation_of(rollout.version).value,
             "base": list(self.state.base),
             "fronts": [
                 {
--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 import gevent
 from gevent import socket
@@ -60,6 +61,25 @@
     result: version.Version
 
 
+def decode_version_id(fields: dict[str, Any]) -> VersionId:
+    """The version that a frame names. Raises one of ``DECODE_ERRORS``."""
+    return VersionId(int(fields["epoch"]), int(fields["number"]))
+
+
+def decode_offer(stream: int, fields: dict[str, Any]) -> Offer:
+    """The offer of a frame. Raises one of ``DECODE_ERRORS``."""
+    confirm_ms = fields.get("confirm_ms")
+    return Offer(
+        stream,
+        int(fields["nonce"]),
+        decode_version_id(fields),
+        str(fields["digest"]),
+        None if confirm_ms is None else float(confirm_ms),
+        fields,
+        fields.get("confirmed") is True,
+    )
+
+
 class ConfigVersions:
     """Follows one control service. The ledger decides; reading and checking run in a separate greenlet, in
     slices, so that requests do not wait. ``apply_limits`` sets the limits in force (None if nothing is
@@ -154,23 +174,23 @@
                 self.end_stream(old_stream, "moved")
         match frame.kind:
             case "offer":
-                version_id, confirm = (
-                    VersionId(int(fields["epoch"]), int(fields["number"])),
-                    fields.get("confirm_ms"),
-                )
-                confirm_ms = None if confirm is None else float(confirm)
-                offer = Offer(
-                    stream, int(fields["nonce"]), version_id, str(fields["digest"]), confirm_ms, fields
-                )
                 self.counters.add("versions_offered")
-                self.execute(self.ledger.offer_received(offer))
+                self.execute(self.ledger.offer_received(decode_offer(stream, fields)))
             case "confirm":
-                version_id = VersionId(int(fields["epoch"]), int(fields["number"]))
-                if self.ledger.confirm_received(version_id):
-                    self.log("version confirmed", epoch=version_id.epoch, number=version_id.number)
+                self.confirm(decode_version_id(fields), stream)
             case "bye":
                 self.end_stream(stream, str(fields.get("why", "bye")))
 
+    def confirm(self, version_id: VersionId, stream: int) -> None:
+        """Confirm a version, and acknowledge that on its stream if the version is in force."""
+        was_waiting = self.ledger.confirm_deadline_ms is not None
+        if not self.ledger.confirm_received(version_id):
+            return
+        fields = {"epoch": version_id.epoch, "number": version_id.number}
+        if was_waiting:
+            self.log("version confirmed", **fields)
+        self.send(stream, encode_frame("confirmed", **fields))
+
     # --- actions of the ledger ---
 
     def execute(self, actions: list[LedgerAction]) -> None:
@@ -212,7 +232,7 @@
             yield from version.read_in_slices(str(offer.body["text"]).encode(), limits, result)
             return
         base = offer.body["base"]
-        if VersionId(int(base["epoch"]), int(base["number"])) != self.ledger.in_force.version:
+        if decode_version_id(base) != self.ledger.in_force.version:
             result.faults = [Fault("base", "difference to a version that is not in force here")]
             return
         changed = {tuple(path): value for path, value in offer.body["set"]}
