--- a/myrtleroad/config/frames.py
+++ b/myrtleroad/config/frames.py
@@ -24,6 +24,7 @@
     6: "alive",  # either: a heartbeat, sent if nothing else was
     7: "bye",  # either: why this side ends the stream
     8: "confirmed",  # front: a confirmed version is in force here
+    9: "expired",  # control: a version was not confirmed in time
 }
 KIND_NUMBERS = {kind: number for number, kind in KINDS.items()}
 
--- a/myrtleroad/config/ledger.py
+++ b/myrtleroad/config/ledger.py
@@ -123,7 +123,7 @@
 
     def __init__(self, last_good: HeldVersion | None = None, highest: VersionId = NO_VERSION):
         """``last_good``: the last good version from before a restart, in force from the start.
-        ``highest``: the highest version that was ever in force."""
+        ``highest``: the highest version that was in force and not rolled back."""
         self.in_force = self.last_good = last_good or HeldVersion(NO_VERSION, "", VersionState.CONFIRMED)
         self.highest = max(highest, self.in_force.version)
         self.confirm_deadline_ms: float | None = None
@@ -305,9 +305,40 @@
         change that cuts off the connection over which it could be taken back."""
         if self.confirm_deadline_ms is None or now < self.confirm_deadline_ms:
             return []
+        return self.roll_back()
+
+    def expire_received(self, version: VersionId) -> list[LedgerAction]:
+        """The control service reports that a version was not confirmed in time. It is rolled back if it is in
+        force and unconfirmed, and otherwise not applied any more."""
+        if version == self.in_force.version and self.confirm_deadline_ms is not None:
+            return self.roll_back()
+        actions: list[LedgerAction] = []
+        if self.pending is not None and self.pending.version == version:
+            offer, self.pending = self.pending, None
+            actions += self.refuse_expired(offer)
+        if self.in_progress is None or self.in_progress[0].version != version:
+            return actions
+        offer, state = self.in_progress
+        if state == VersionState.CHECKED:
+            # It is being applied: rolled back by the next tick after that.
+            self.in_progress = (replace(offer, confirm_ms=0.0, confirmed=False), state)
+            return actions
+        self.in_progress = None
+        return actions + self.refuse_expired(offer) + self.check_pending()
+
+    def refuse_expired(self, offer: Offer) -> list[LedgerAction]:
+        """Refuses an offer whose version expired before it was in force."""
+        self.past.append(HeldVersion(offer.version, offer.digest, VersionState.ROLLED_BACK))
+        text = f"{describe_version(offer.version)} was not confirmed in time"
+        return self.if_stream_open(self.refusal(offer, "rolled-back", text))
+
+    def roll_back(self) -> list[LedgerAction]:
+        """Rolls back the version in force to the last good one, after which versions above that are taken
+        again, but for those in ``past``; earlier epochs stay excluded."""
         expired, self.confirm_deadline_ms = self.in_force, None
         self.past.append(HeldVersion(expired.version, expired.digest, VersionState.ROLLED_BACK))
         self.in_force = self.last_good
+        self.highest = max(self.in_force.version, VersionId(expired.version.epoch, 0))
         return [
             ApplyVersion(self.last_good.version),
             ReportRollback(expired.version, self.last_good.version, "not confirmed in time"),
--- a/myrtleroad/control/confirmation.py
+++ b/myrtleroad/control/confirmation.py
@@ -2,7 +2,7 @@
 
 The state of a version's confirmation is part of state.json and is saved before a front hears of it, so that
 every front gets the same: those that are connected, those that come later, and those of a restarted
-service."""
+service. So is the time until which a confirmation is taken; it is the same for all fronts."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +18,16 @@
     NOT_REQUIRED = "not-required"
     PENDING = "pending"
     CONFIRMED = "confirmed"
+    EXPIRED = "expired"  # not confirmed in time: every front rolls the version back
+    UNKNOWN = "unknown"  # published by a release that did not record it
+
+
+@dataclass(slots=True, frozen=True)
+class BootTime:
+    """A point in time: ms since the boot of a machine, and which boot that was."""
+
+    boot_id: str
+    ms: float
 
 
 def initial_confirmation(confirm_ms: float | None) -> ConfirmationState:
@@ -25,6 +35,19 @@
     return ConfirmationState.NOT_REQUIRED if confirm_ms is None else ConfirmationState.PENDING
 
 
+def confirm_deadline(confirm_ms: float | None, now: BootTime) -> BootTime | None:
+    """Until when a version that is published now can be confirmed; None if it requires no confirmation."""
+    return None if confirm_ms is None else BootTime(now.boot_id, now.ms + confirm_ms)
+
+
+def remaining_ms(deadline: BootTime | None, now: BootTime) -> float:
+    """How long a pending version can still be confirmed. 0 after a reboot: how long that took is not known,
+    and a version that may not have been confirmed in time must not reach further fronts."""
+    if deadline is None or deadline.boot_id != now.boot_id:
+        return 0.0
+    return max(0.0, deadline.ms - now.ms)
+
+
 @dataclass(slots=True)
 class ConfirmationCall:
     """An operator's confirmation that waits until the fronts have acknowledged it.
--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from myrtleroad.control.confirmation import ConfirmationState, initial_confirmation
+from myrtleroad.control.confirmation import BootTime, ConfirmationState
 
 STATE = "state.json"
 
@@ -32,13 +32,18 @@
     note: str = ""
     of: int | None = None  # the number of the version that this one restores
     confirmation: ConfirmationState = ConfirmationState.NOT_REQUIRED
+    confirm_deadline: BootTime | None = None  # until when it can be confirmed
 
     @classmethod
     def from_stored(cls, stored: dict) -> "Published":
         """A version from state.json. Raises KeyError, TypeError or ValueError."""
-        fields = {"confirmation": initial_confirmation(stored["confirm_ms"]), **stored}
-        fields["confirmation"] = ConfirmationState(fields["confirmation"])
-        return cls(**fields)
+        version = cls(**stored)
+        if "confirmation" not in stored and version.confirm_ms is not None:
+            version.confirmation = ConfirmationState.UNKNOWN
+        version.confirmation = ConfirmationState(version.confirmation)
+        if version.confirm_deadline is not None:
+            version.confirm_deadline = BootTime(**stored["confirm_deadline"])
+        return version
 
 
 @dataclass(slots=True)
@@ -85,7 +90,7 @@
     def save(self, state: State) -> None:
         """Saves the state. It is kept once this returns, so that numbers never decrease. Raises OSError if
         the old state remains."""
-        state.published = state.published[-self.MAX_KEPT :]
+        state.published = self.kept_versions(state)
         text = orjson.dumps(
             {
                 "epoch": state.epoch,
@@ -112,6 +117,13 @@
             raise
         self.synced = self.sync()
 
+    def kept_versions(self, state: State) -> list[Published]:
+        """The newest published versions, and the base version however old it is: fronts that start have to
+        get it."""
+        older = state.published[: -self.MAX_KEPT]
+        base = [version for version in older if (version.epoch, version.number) == tuple(state.base)]
+        return base + state.published[-self.MAX_KEPT :]
+
     def sync(self) -> bool:
         """Syncs the folder; returns whether the directory entry of the newest state is durable too. The
         new state is in place once it is renamed; only a power loss could bring back the previous one."""
--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -4,13 +4,18 @@
 front in it has acknowledged and the ring has been watched for a while. Refusals, lost fronts and fronts
 that rolled back by themselves count as failures. Past a given share of failures the rollout halts and
 stays halted until the operator rolls back, which publishes the older content under a new number to the
-fronts that were offered the halted version."""
+fronts that were offered the halted version.
+
+A version that waits for its confirmation is not the base that fronts fall back to. A front that has not got
+the base gets it first, and the version after it. A version that was not confirmed in time expires: it is
+offered to nobody any more, and the base stays what it was."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import IntEnum
 
 from myrtleroad.config.ledger import NO_VERSION, VersionId
+from myrtleroad.control.confirmation import ConfirmationState
 
 
 class FrontState(IntEnum):
@@ -22,6 +27,7 @@
     REFUSED = 3
     BACK = 4  # it rolled back by itself
     LOST = 5  # offered or acked, then disconnected for longer than a restart takes
+    BASE_OFFERED = 6  # offered the base version before this one, to have something to roll back to
 
 
 class VersionRolloutPhase(IntEnum):
@@ -31,6 +37,8 @@
     ROLLING = 1
     HALTED = 2
     DONE = 3
+    AWAITING_CONFIRMATION = 4  # all rings have it
+    EXPIRED = 5  # not confirmed in time
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,6 +83,7 @@
     holds: VersionId = NO_VERSION  # the version that it last reported to be in force
     state: FrontState = FrontState.WAITING
     offered_at_ms: float = 0.0
+    refused_base: bool = False  # refused the base version, so it is not offered that again
     code: str = ""
     text: str = ""
 
@@ -102,7 +111,15 @@
     version: VersionId
 
 
-RolloutAction = SendOffer | RolloutHalted | RolloutFinished
+@dataclass(slots=True, frozen=True)
+class RevokeVersion:
+    """Tell this front that the version was not confirmed in time."""
+
+    front: str
+    version: VersionId
+
+
+RolloutAction = SendOffer | RevokeVersion | RolloutHalted | RolloutFinished
 
 
 class Rollout:
@@ -111,23 +128,46 @@
 
     FORGET_FRONT_MS = 86_400_000.0  # disconnected fronts stay listed for a day, for on-call to see
 
-    __slots__ = ("base", "fronts", "halt_reason", "phase", "plan", "ring", "ring_answered_at_ms", "version")
+    __slots__ = (
+        "base",
+        "confirmation",
+        "fronts",
+        "halt_reason",
+        "phase",
+        "plan",
+        "ring",
+        "ring_answered_at_ms",
+        "version",
+    )
 
     def __init__(self, plan: RolloutPlan, base: VersionId = NO_VERSION):
         """``base``: the version that every front should hold while no rollout is in progress."""
         self.plan, self.base = plan, base
         self.fronts: dict[str, FrontRecord] = {}  # entries expire after FORGET_FRONT_MS
         self.version, self.phase, self.ring, self.halt_reason = base, VersionRolloutPhase.IDLE, 0, ""
+        self.confirmation = ConfirmationState.NOT_REQUIRED  # of the version
         self.ring_answered_at_ms: float | None = None  # since when all fronts of the ring have answered
 
     # --- events ---
 
     def confirmed(self, now: float) -> list[RolloutAction]:
         """The version has been confirmed. Fronts that had rolled it back already get it again."""
+        self.confirmation = ConfirmationState.CONFIRMED
         for record in self.fronts.values():
             if record.state == FrontState.BACK:
                 record.state, record.code, record.text = FrontState.WAITING, "", ""
-        return self.advance(now)
+        if self.phase != VersionRolloutPhase.AWAITING_CONFIRMATION:
+            return self.advance(now)
+        self.phase = VersionRolloutPhase.DONE
+        return [RolloutFinished(self.version), *self.advance(now)]
+
+    def expired(self) -> list[RolloutAction]:
+        """The version was not confirmed in time. Fronts that hold it or are taking it roll it back."""
+        self.confirmation = ConfirmationState.EXPIRED
+        if self.phase != VersionRolloutPhase.HALTED:
+            self.phase = VersionRolloutPhase.EXPIRED
+            self.halt_reason = f"version {self.version.number} was not confirmed in time"
+        return [RevokeVersion(front, self.version) for front in sorted(self.holders())]
 
     def holders(self) -> set[str]:
         """Names of the connected fronts that hold the version or are taking it."""
@@ -137,7 +177,12 @@
             if record.connected and (record.holds == self.version or record.state == FrontState.OFFERED)
         }
 
-    def publish(self, version: VersionId, now: float) -> list[RolloutAction]:
+    def publish(
+        self,
+        version: VersionId,
+        now: float,
+        confirmation: ConfirmationState = ConfirmationState.NOT_REQUIRED,
+    ) -> list[RolloutAction]:
         """Starts the rollout of a version. A rollout in progress ends where it is: its fronts are
         offered the new version with their ring. Raises ValueError if the version does not increase."""
         if version <= self.version:
@@ -151,22 +196,31 @@
             "",
             None,
         )
+        self.confirmation = confirmation
         for record in self.fronts.values():
             record.state, record.code, record.text = FrontState.WAITING, "", ""
+            record.refused_base = False
         return self.advance(now)
 
-    def resume(self, last_version: VersionId, halt_reason: str, now: float) -> list[RolloutAction]:
+    def resume(
+        self,
+        last_version: VersionId,
+        halt_reason: str,
+        now: float,
+        confirmation: ConfirmationState = ConfirmationState.NOT_REQUIRED,
+    ) -> list[RolloutAction]:
         """Continues after a restart of the service. ``last_version`` is the last published version,
         ``halt_reason`` why its rollout was halted ("" if it was not). A restart must neither abandon a
         rollout nor lift a halt: a rollout in progress starts again at ring one, where fronts that hold
-        the version count as acknowledged, and a halted one stays halted."""
+        the version count as acknowledged, and a halted or expired one stays so."""
         if last_version <= self.base:
+            self.confirmation = confirmation
             return []
-        actions = self.publish(last_version, now)
-        if not halt_reason:
-            return actions
-        self.phase, self.halt_reason = VersionRolloutPhase.HALTED, halt_reason
-        return []
+        actions = self.publish(last_version, now, confirmation)
+        if halt_reason:
+            self.phase, self.halt_reason = VersionRolloutPhase.HALTED, halt_reason
+            return []
+        return self.expired() if confirmation == ConfirmationState.EXPIRED else actions
 
     def expect_fronts(self, fronts: Iterable[str], now: float) -> None:
         """Adds the fronts that the service knew before a restart, disconnected as of now. Guards against a
@@ -178,7 +232,7 @@
         """A front has connected. If it holds the current version, it counts as acknowledged; if its ring
         has started, it is offered the version; otherwise it is offered the base version."""
         record = self.fronts.setdefault(front, FrontRecord(front))
-        record.connected, record.since_ms, record.holds = True, now, holds
+        record.connected, record.since_ms, record.holds, record.refused_base = True, now, holds, False
         if record.state == FrontState.LOST:
             record.state = FrontState.WAITING
         if (
@@ -187,7 +241,7 @@
             and record.state not in (FrontState.REFUSED, FrontState.BACK)
         ):
             record.state = FrontState.ACKED
-        elif record.state in (FrontState.OFFERED, FrontState.ACKED):
+        elif record.state in (FrontState.OFFERED, FrontState.ACKED, FrontState.BASE_OFFERED):
             record.state = FrontState.WAITING  # it restarted with an older version
         actions = self.advance(now)
         if not any(
@@ -208,6 +262,8 @@
         record = self.fronts.get(front)
         if record is not None:
             record.connected, record.since_ms = False, now
+            if record.state == FrontState.BASE_OFFERED:
+                record.state = FrontState.WAITING
         return self.advance(now)
 
     def answer_received(
@@ -219,6 +275,9 @@
             return []
         if acked:
             record.holds = max(record.holds, version)
+        if version == self.base and record.state == FrontState.BASE_OFFERED:
+            record.state, record.refused_base = FrontState.WAITING, not acked
+            return self.advance(now)
         if version != self.version or record.state != FrontState.OFFERED:
             return []
         record.state, record.code, record.text = (
@@ -233,7 +292,6 @@
         back_to: VersionId,
         reason: str,
         now: float,
-        is_confirmed: bool = False,
     ) -> list[RolloutAction]:
         """A front has rolled back a version by itself. If the version is confirmed, the confirmation came
         too late at this front only, and it is offered the version again."""
@@ -241,11 +299,14 @@
         if record is None:
             return []
         record.holds = back_to
-        if version == self.version and is_confirmed:
+        if version == self.version and self.confirmation == ConfirmationState.CONFIRMED:
             record.state = FrontState.WAITING
         elif version == self.version:
             record.state, record.code, record.text = FrontState.BACK, "rolled-back", reason
-        return self.advance(now)
+        actions = self.advance(now)
+        if self.confirmation == ConfirmationState.EXPIRED and self.is_behind(record):
+            actions.append(SendOffer(front, self.base))
+        return actions
 
     def tick(self, now: float) -> list[RolloutAction]:
         """Time has passed: forgets fronts that left long ago and does whatever is due."""
@@ -259,7 +320,7 @@
     def advance(self, now: float) -> list[RolloutAction]:
         """Does whatever is due: marks lost fronts, halts, offers to the ring, starts the next ring,
         finishes."""
-        if self.phase == VersionRolloutPhase.DONE:
+        if self.phase in (VersionRolloutPhase.DONE, VersionRolloutPhase.AWAITING_CONFIRMATION):
             return self.offer_to_late_fronts(now)
         if self.phase != VersionRolloutPhase.ROLLING:
             return []
@@ -279,16 +340,20 @@
                 return [*actions, RolloutHalted(self.version, self.halt_reason)]
             for record in ring:
                 if record.state == FrontState.WAITING and record.connected:
-                    record.state, record.offered_at_ms = FrontState.OFFERED, now
-                    actions.append(SendOffer(record.name, self.version))
+                    actions.append(self.offer(record, now))
             if not ring or any(
-                record.state == FrontState.OFFERED or self.may_be_restarting(record, now) for record in ring
+                record.state in (FrontState.OFFERED, FrontState.BASE_OFFERED)
+                or self.may_be_restarting(record, now)
+                for record in ring
             ):
                 self.ring_answered_at_ms = None
                 return actions
             self.ring_answered_at_ms = now if self.ring_answered_at_ms is None else self.ring_answered_at_ms
             if now - self.ring_answered_at_ms < self.plan.watch_ms:
                 return actions
+            if self.ring + 1 == len(self.plan.rings) and self.confirmation == ConfirmationState.PENDING:
+                self.phase = VersionRolloutPhase.AWAITING_CONFIRMATION
+                return actions
             if self.ring + 1 == len(self.plan.rings):
                 self.phase = VersionRolloutPhase.DONE
                 return [*actions, RolloutFinished(self.version)]
@@ -299,16 +364,26 @@
         actions: list[RolloutAction] = []
         for record in self.fronts.values():
             if record.state == FrontState.WAITING and record.connected and record.holds < self.version:
-                record.state, record.offered_at_ms = FrontState.OFFERED, now
-                actions.append(SendOffer(record.name, self.version))
+                actions.append(self.offer(record, now))
         return actions
 
+    def offer(self, record: FrontRecord, now: float) -> SendOffer:
+        """Offers the version to a front. Guards against a front that rolls an unconfirmed version back to
+        less than all others hold: it is offered the base version first if it holds an older one."""
+        record.offered_at_ms = now
+        needs_base = record.holds < self.base and not record.refused_base
+        if self.confirmation == ConfirmationState.PENDING and needs_base:
+            record.state = FrontState.BASE_OFFERED
+            return SendOffer(record.name, self.base)
+        record.state = FrontState.OFFERED
+        return SendOffer(record.name, self.version)
+
     def mark_lost_fronts(self, now: float) -> None:
         """Marks fronts as lost that don't answer or stay disconnected for too long."""
         for record in self.fronts.values():
             silent = (
                 record.connected
-                and record.state == FrontState.OFFERED
+                and record.state in (FrontState.OFFERED, FrontState.BASE_OFFERED)
                 and now - record.offered_at_ms > self.plan.answer_timeout_ms
             )
             away = not record.connected and now - record.since_ms > self.plan.restart_timeout_ms
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -22,11 +22,19 @@
 from myrtleroad.config.frames import Frame, FrameDecoder, FrameError, encode_frame
 from myrtleroad.config.ledger import NO_VERSION, VersionId
 from myrtleroad.config.scanner import MAX_DOCUMENT_BYTES
-from myrtleroad.control.confirmation import ConfirmationCall, ConfirmationState, initial_confirmation
-from myrtleroad.control.folder import Folder, Published
+from myrtleroad.control.boot_clock import BootClock
+from myrtleroad.control.confirmation import (
+    ConfirmationCall,
+    ConfirmationState,
+    confirm_deadline,
+    initial_confirmation,
+    remaining_ms,
+)
+from myrtleroad.control.folder import STATE, Folder, Published
 from myrtleroad.control.numbering import FIRST_EPOCH, NumberTaken, worth_as_difference
 from myrtleroad.control.numbering import next_number as next_version_number
 from myrtleroad.control.rollout import (
+    RevokeVersion,
     Rollout,
     RolloutAction,
     RolloutFinished,
@@ -105,6 +113,7 @@
         self.folder, self.clock, self.log = folder, clock, log
         self.state = folder.load()
         self.state.epoch = max(FIRST_EPOCH, self.state.epoch)  # it is only raised by hand, in state.json
+        self.boot_clock = BootClock()
         self.rollout = Rollout(plan, VersionId(*self.state.base))
         self.rollout.expect_fronts(self.state.fronts, clock())
         self.streams: dict[str, FrontStream] = {}  # by front name; removed as each stream ends
@@ -117,9 +126,7 @@
             self.add_version(published)
         self.confirmation_calls: list[ConfirmationCall] = []  # each is answered in time by ``end_calls``
         self.unsaved = False  # the state in memory could not be saved yet
-        self.carry_out(
-            self.rollout.resume(max(self.versions, default=NO_VERSION), self.state.halted, clock())
-        )
+        self.resume()
         self.mailbox: SimpleQueue = SimpleQueue()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -136,6 +143,19 @@
         parsed = version.read(published.text.encode())
         self.entries[version_id], self.positions[version_id] = parsed.entries, parsed.positions
 
+    def resume(self) -> None:
+        """Continues the last rollout after a start. A version of which an earlier release did not record
+        whether it was confirmed is offered to nobody."""
+        for version_id, published in self.versions.items():
+            published.confirmation = self.confirmation_of(version_id)
+        if self.confirmation_of(self.rollout.base) == ConfirmationState.UNKNOWN:
+            self.rollout.base = self.rollout.version = NO_VERSION
+        last = max(self.versions, default=NO_VERSION)
+        confirmation, halt_reason = self.confirmation_of(last), self.state.halted
+        if confirmation == ConfirmationState.UNKNOWN:
+            halt_reason = f"{STATE} does not tell whether version {last.number} was confirmed"
+        self.carry_out(self.rollout.resume(last, halt_reason, self.clock(), confirmation))
+
     # --- the actor ---
 
     def run(self) -> None:
@@ -179,6 +199,7 @@
             now = self.clock()
             try:
                 self.retry_save()
+                self.expire_version()
                 if message is None:
                     self.carry_out(self.rollout.tick(now))
                 elif isinstance(message, OperatorCall):
@@ -193,7 +214,10 @@
 
     def next_deadline(self, now: float) -> float:
         """When something is due at the latest without a message."""
-        return min([self.rollout.next_deadline(now), *(call.ends_at_ms for call in self.confirmation_calls)])
+        due = [self.rollout.next_deadline(now), *(call.ends_at_ms for call in self.confirmation_calls)]
+        if (left_ms := self.confirm_left_ms()) is not None:
+            due.append(now + left_ms)
+        return min(due)
 
     def frame_received(self, stream: FrontStream, frame: Frame | None, now: float) -> None:
         """Handles a frame of a front, or the end of its stream."""
@@ -212,13 +236,13 @@
                 if stream.name not in self.rollout.fronts:
                     self.state.fronts = [*self.rollout.fronts, stream.name]
                     self.save_state()
-                self.send_confirmation(stream)
+                self.send_outcome(stream)
                 self.carry_out(self.rollout.front_connected(stream.name, stream.holds, now))
             case "answer" if stream.name:
                 version_id, acked = decode_version_id(fields), bool(fields["acked"])
                 if acked:
                     stream.holds = version_id
-                    self.send_confirmation(stream)
+                    self.send_outcome(stream)
                 elif fields.get("code") == "base":
                     # Its base differs: sends the whole text.
                     self.offer(stream, version_id, whole=True)
@@ -231,11 +255,8 @@
             case "back" if stream.name:
                 stream.holds = decode_version_id(fields["to"])
                 version_id, reason = decode_version_id(fields), str(fields.get("why", ""))
-                is_confirmed = self.confirmation_of(version_id) == ConfirmationState.CONFIRMED
                 self.carry_out(
-                    self.rollout.front_rolled_back(
-                        stream.name, version_id, stream.holds, reason, now, is_confirmed
-                    )
+                    self.rollout.front_rolled_back(stream.name, version_id, stream.holds, reason, now)
                 )
             case "confirmed" if stream.name:
                 version_id = decode_version_id(fields)
@@ -260,6 +281,9 @@
                 case SendOffer(front, version_id):
                     if (stream := self.streams.get(front)) is not None and version_id != NO_VERSION:
                         self.offer(stream, version_id)
+                case RevokeVersion(front, version_id):
+                    if (stream := self.streams.get(front)) is not None:
+                        self.send_verdict(stream, "expired", version_id)
                 case RolloutHalted(version_id, reason):
                     self.state.halted = reason
                     self.save_state()
@@ -274,6 +298,9 @@
         published = self.versions.get(version_id)
         if published is None:
             return  # no longer kept: the front stays with its version
+        confirmation = self.confirmation_of(version_id)
+        if confirmation == ConfirmationState.EXPIRED:
+            return  # its time ended since it was to be offered
         stream.nonce += 1
         fields = {
             "nonce": stream.nonce,
@@ -281,9 +308,9 @@
             "number": version_id.number,
             "digest": published.digest,
         }
-        if published.confirmation == ConfirmationState.PENDING:
-            fields["confirm_ms"] = published.confirm_ms
-        elif published.confirmation == ConfirmationState.CONFIRMED:
+        if confirmation == ConfirmationState.PENDING:
+            fields["confirm_ms"] = self.remaining_ms(published)
+        elif confirmation == ConfirmationState.CONFIRMED:
             fields["confirmed"] = True
         delta_part = None if whole else self.delta_fields(stream.holds, version_id, len(published.text))
         if delta_part is not None:
@@ -333,16 +360,44 @@
     # --- confirmations ---
 
     def confirmation_of(self, version_id: VersionId) -> ConfirmationState:
-        """The state of the confirmation of a version; ``NOT_REQUIRED`` for versions no longer kept."""
+        """The state of the confirmation of a version now; ``NOT_REQUIRED`` for versions no longer kept."""
         published = self.versions.get(version_id)
-        return published.confirmation if published is not None else ConfirmationState.NOT_REQUIRED
-
-    def send_confirmation(self, stream: FrontStream) -> None:
-        """Confirms the version that a front holds, if it is confirmed: the front may have been away when that
-        happened, or be checking the version."""
-        held = stream.holds
-        if self.confirmation_of(held) == ConfirmationState.CONFIRMED:
-            stream.put(encode_frame("confirm", epoch=held.epoch, number=held.number))
+        if published is None:
+            return ConfirmationState.NOT_REQUIRED
+        if published.confirmation == ConfirmationState.PENDING and not self.remaining_ms(published):
+            return ConfirmationState.EXPIRED
+        return published.confirmation
+
+    def remaining_ms(self, published: Published) -> float:
+        """How long a version can still be confirmed."""
+        return remaining_ms(published.confirm_deadline, self.boot_clock())
+
+    def send_verdict(self, stream: FrontStream, kind: str, version_id: VersionId) -> None:
+        """Tells a front that a version is confirmed or expired (``kind`` of the frame)."""
+        stream.put(encode_frame(kind, epoch=version_id.epoch, number=version_id.number))
+
+    def send_outcome(self, stream: FrontStream) -> None:
+        """Tells a front whether the version that it holds is confirmed or expired: it may have been away when
+        that happened, or be checking the version."""
+        match self.confirmation_of(stream.holds):
+            case ConfirmationState.CONFIRMED:
+                self.send_verdict(stream, "confirm", stream.holds)
+            case ConfirmationState.EXPIRED:
+                self.send_verdict(stream, "expired", stream.holds)
+
+    def expire_version(self) -> None:
+        """Expires the current version if its time for a confirmation is over. Nothing is lost if that can't
+        be saved now: a restarted service finds the same from the saved deadline."""
+        version_id = self.rollout.version
+        if (
+            self.rollout.confirmation != ConfirmationState.PENDING
+            or self.confirmation_of(version_id) != ConfirmationState.EXPIRED
+        ):
+            return
+        self.versions[version_id].confirmation = ConfirmationState.EXPIRED
+        self.save_state()
+        self.log("version expired", level="warning", epoch=version_id.epoch, number=version_id.number)
+        self.carry_out(self.rollout.expired())
 
     def confirm(self, call: OperatorCall, now: float) -> None:
         """Confirms the current version: first in the state, then at the fronts that hold or were offered it.
@@ -356,18 +411,23 @@
             held = {"fronts": len(holders), "waiting": []}
             call.reply({"ok": True, "number": published.number, "required": False, **held})
             return
-        if published.confirmation == ConfirmationState.PENDING:
+        if self.confirmation_of(version_id) != ConfirmationState.CONFIRMED:
             self.check_confirmable(published)
             self.save_confirmation(published)
             self.log("version confirmed", epoch=version_id.epoch, number=version_id.number)
         ends_at = now + ConfirmationCall.ANSWER_TIMEOUT_MS
         self.confirmation_calls.append(ConfirmationCall(version_id, holders, ends_at, call.reply))
         for name in holders:
-            self.streams[name].put(encode_frame("confirm", epoch=version_id.epoch, number=version_id.number))
+            self.send_verdict(self.streams[name], "confirm", version_id)
         self.carry_out(self.rollout.confirmed(now))
 
     def check_confirmable(self, published: Published) -> None:
-        """Raises CallRefused if the rollout of a version has failed: its fronts are to roll it back."""
+        """Raises CallRefused if a version has expired or its rollout has failed: fronts roll it back."""
+        if self.confirmation_of(self.rollout.version) == ConfirmationState.EXPIRED:
+            raise CallRefused(
+                f"version {published.number} was not confirmed in time and is rolled back; "
+                "publish another version"
+            )
         if self.rollout.phase == VersionRolloutPhase.HALTED:
             raise CallRefused(
                 f"the rollout of version {published.number} was halted ({self.rollout.halt_reason}); "
@@ -375,16 +435,21 @@
             )
 
     def save_confirmation(self, published: Published) -> None:
-        """Saves a confirmation before any front hears of it. Raises CallRefused, and leaves the version
-        unconfirmed, if that can't be made durable now."""
-        published.confirmation, failure = ConfirmationState.CONFIRMED, "the folder cannot be synced"
+        """Saves a confirmation before any front hears of it; if all rings have the version, it becomes the
+        base version in the same write. Raises CallRefused, and leaves the version unconfirmed, if that can't
+        be made durable now."""
+        base, failure = self.state.base, "the folder cannot be synced"
+        published.confirmation = ConfirmationState.CONFIRMED
+        if self.rollout.phase == VersionRolloutPhase.AWAITING_CONFIRMATION:
+            self.state.base = (published.epoch, published.number)
         try:
             self.folder.save(self.state)
             if self.folder.synced:
                 return
         except OSError as error:
             failure = str(error)
-        published.confirmation, self.unsaved = ConfirmationState.PENDING, True
+        self.state.base, self.unsaved = base, True
+        published.confirmation = ConfirmationState.PENDING
         raise CallRefused(
             f"the confirmation of version {published.number} cannot be saved; confirm again: {failure}"
         )
@@ -420,16 +485,18 @@
             parsed.note,
             restored_number,
             initial_confirmation(parsed.confirm_ms),
+            confirm_deadline(parsed.confirm_ms, self.boot_clock()),
         )
         self.save_published(published)
         self.add_version(published)
         self.deltas.clear()
-        for old in sorted(self.versions)[: -Folder.MAX_KEPT]:
+        kept = {VersionId(version.epoch, version.number) for version in self.state.published}
+        for old in self.versions.keys() - kept:
             del self.versions[old], self.entries[old], self.positions[old]
         self.log(
             "published", epoch=published.epoch, number=number, entries=len(parsed.entries), of=restored_number
         )
-        self.carry_out(self.rollout.publish(VersionId(published.epoch, number), now))
+        self.carry_out(self.rollout.publish(VersionId(published.epoch, number), now, published.confirmation))
         return {"number": number}
 
     def save_published(self, published: Published) -> None:
@@ -480,6 +547,12 @@
             )
         return self.publish(old.text, now, restored_number=number)
 
+    def confirm_left_ms(self) -> float | None:
+        """How long the current version can still be confirmed; None if it does not wait for that."""
+        if self.rollout.confirmation != ConfirmationState.PENDING:
+            return None
+        return self.remaining_ms(self.versions[self.rollout.version])
+
     def status(self) -> dict[str, Any]:
         """The rollout and the state of each front, for operators."""
         rollout = self.rollout
@@ -492,7 +565,8 @@
             else None,
             "rings": len(rollout.plan.rings),
             "why": rollout.halt_reason,
-            "confirmation": self.confirmation_of(rollout.version).value,
+            "confirmation": rollout.confirmation.value,
+            "confirm_left_ms": self.confirm_left_ms(),
             "base": list(self.state.base),
             "fronts": [
                 {
--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -178,6 +178,8 @@
                 self.execute(self.ledger.offer_received(decode_offer(stream, fields)))
             case "confirm":
                 self.confirm(decode_version_id(fields), stream)
+            case "expired":
+                self.execute(self.ledger.expire_received(decode_version_id(fields)))
             case "bye":
                 self.end_stream(stream, str(fields.get("why", "bye")))
 
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -4,13 +4,16 @@
 import errno
 
 import gevent
+import orjson
 import pytest
 import test_versions
-from test_ledger import make_ledger, make_offer, process_offer
+from test_ledger import answer_codes, make_ledger, make_offer, process_offer
 from test_versions import held_number, make_failing, wait_until
 
-from myrtleroad.config.ledger import ApplyVersion, VersionId, VersionState
-from myrtleroad.control.folder import Folder
+from myrtleroad.config.ledger import NO_VERSION, ApplyVersion, VersionId, VersionState
+from myrtleroad.control import boot_clock
+from myrtleroad.control.folder import Folder, Published, State
+from myrtleroad.control.rollout import VersionRolloutPhase
 
 make_deployment = test_versions.make_deployment
 CONFIRM_S = 1  # the shortest that a version may ask for
@@ -117,3 +120,117 @@
     assert (ledger.in_force.version.number, ledger.tick(5000.0)) == (2, [])
     process_offer(ledger, make_offer(3, confirm=1000.0))
     assert ledger.confirm_received(VersionId(1, 3)) and ledger.confirm_received(VersionId(1, 3))
+
+
+def publish_base(deployment, *fronts):
+    """Publishes a version that needs no confirmation and waits until its rollout is done."""
+    deployment.publish("trial most-share=0.5")
+    wait_until(lambda: deployment.service.rollout.phase == VersionRolloutPhase.DONE)
+    wait_until(lambda: all(held_number(front) == 1 for front in fronts))
+
+
+@pytest.mark.parametrize("service_restarts", ["never", "in time", "afterwards", "after a reboot"])
+def test_expired_version_is_offered_to_no_front_that_comes_later(
+    make_deployment, monkeypatch, service_restarts
+):
+    # Guards against review case 8: a front that came later got the version that had gone back everywhere.
+    deployment = make_deployment()
+    first = deployment.start_front()
+    publish_base(deployment, first)
+    publish_unconfirmed(deployment, first)
+    wait_until(lambda: deployment.service.rollout.phase == VersionRolloutPhase.AWAITING_CONFIRMATION)
+    if service_restarts == "in time":
+        restart_service(deployment)
+    elif service_restarts != "never":
+        address = deployment.kill()
+        if service_restarts == "after a reboot":
+            monkeypatch.setattr(boot_clock, "read_boot_id", lambda: "another boot")
+        else:
+            wait_until(lambda: held_number(first) == 1)
+        deployment.serve(address)
+    wait_until(lambda: held_number(first) == 1)
+    assert "was not confirmed in time" in deployment.call(call="confirm")["why"]
+    later = deployment.start_front("n1")
+    wait_until(lambda: held_number(later) == 1)
+    gevent.sleep(0.2)
+    assert (later.counters.counts["versions_offered"], held_number(later), held_number(first)) == (1, 1, 1)
+    assert deployment.call(call="status")["confirmation"] == "expired"
+    assert deployment.publish("trial most-share=0.1")["number"] == 3
+    wait_until(lambda: held_number(first) == held_number(later) == 3)
+
+
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_front_that_comes_within_the_time_shares_it_and_falls_back_to_the_base(make_deployment, confirmed):
+    # Guards against a late front with a time of its own, or one that falls back to no version.
+    deployment = make_deployment()
+    first = deployment.start_front()
+    publish_base(deployment, first)
+    publish_unconfirmed(deployment, first)
+    wait_until(lambda: deployment.service.rollout.phase == VersionRolloutPhase.AWAITING_CONFIRMATION)
+    gevent.sleep(CONFIRM_S / 2)
+    later = deployment.start_front("n1")
+    wait_until(lambda: held_number(later) == 2)
+    assert later.config_versions.ledger.last_good.version.number == 1
+    left_ms = later.config_versions.ledger.confirm_deadline_ms - later.clock()
+    assert left_ms <= CONFIRM_S * 500.0
+    if confirmed:
+        assert deployment.call(call="confirm")["fronts"] == 2
+        disconnect(later)
+        assert Folder(deployment.folder).load().base == (1, 2)
+    gevent.sleep(CONFIRM_S)
+    assert {held_number(first), held_number(later)} == {2 if confirmed else 1}
+
+
+def test_front_cut_off_past_the_time_is_told_when_it_connects(make_deployment):
+    # Guards against a front that holds an expired version longer than all others.
+    deployment = make_deployment()
+    first, away = deployment.start_front("n0"), deployment.start_front("n1")
+    publish_base(deployment, first, away)
+    publish_unconfirmed(deployment, first, away)
+    disconnect(away)
+    away.config_versions.ledger.confirm_deadline_ms += 60_000.0
+    wait_until(lambda: held_number(first) == 1)
+    assert held_number(away) == 2
+    gevent.spawn(away.config_versions.connect)
+    wait_until(lambda: held_number(away) == 1)
+    wait_until(lambda: deployment.service.rollout.fronts["n1"].holds.number == 1)
+
+
+def test_base_version_is_kept_under_any_number_of_versions_that_expire(tmp_path):
+    # Guards against a front that starts with no version after many that were not confirmed.
+    folder, versions = Folder(tmp_path), [Published(1, n, "", "") for n in range(1, 300)]
+    folder.save(State(1, 299, (1, 2), versions))
+    kept = folder.load().published
+    assert [kept[0].number, kept[1].number, len(kept)] == [2, 200, 101]
+
+
+def test_version_without_a_record_of_its_confirmation_is_offered_to_nobody(make_deployment):
+    # Guards against a state of an earlier release that is taken for confirmed, or for expired.
+    deployment = make_deployment()
+    publish_unconfirmed(deployment)
+    address = deployment.kill()
+    stored = orjson.loads((deployment.folder / "state.json").read_bytes())
+    del stored["published"][0]["confirmation"], stored["published"][0]["confirm_deadline"]
+    (deployment.folder / "state.json").write_bytes(orjson.dumps(stored | {"base": [1, 1]}))
+    deployment.serve(address)
+    front = deployment.start_front()
+    assert "does not tell" in deployment.call(call="confirm")["why"]
+    assert front.counters.counts["versions_offered"] == 0
+    assert deployment.call(call="rollback", to=1)["number"] == 2
+    wait_until(lambda: held_number(front) == 2)
+
+
+def test_expired_version_that_is_still_checked_or_queued_is_not_applied():
+    # Guards against a front that applies a version after its time.
+    ledger = make_ledger()
+    ledger.offer_received(make_offer(1, confirm=1000.0))
+    assert answer_codes(ledger.expire_received(VersionId(1, 1))) == [(1, "rolled-back")]
+    assert ledger.check_finished(1, 0) == [] and ledger.in_progress is None
+    ledger.offer_received(make_offer(2, confirm=1000.0))
+    ledger.check_finished(2, 0)
+    ledger.offer_received(make_offer(3, confirm=1000.0))
+    assert answer_codes(ledger.expire_received(VersionId(1, 3))) == [(3, "rolled-back")]
+    ledger.expire_received(VersionId(1, 2))  # it is being applied
+    ledger.apply_finished(VersionId(1, 2), 5.0)
+    assert ledger.tick(5.0)[0] == ApplyVersion(NO_VERSION)
+    assert answer_codes(process_offer(ledger, make_offer(1, 10))) == [(10, "rolled-back")]
