The rollout that an expired version had cut short goes on

What callers saw: a version that was confirmed, or asked for no confirmation, and had reached only the first rings when the next was published, stayed at those rings for good when that next one was not confirmed: the fleet held two versions, fronts that came later got the older one, and nothing said so.

Cause: publish() ends a rollout in progress where it is, and an expiry went back to the base, while fronts go back to the last version they hold as good.

Change: when a version expires, all that wait for a confirmation expire with it, and the newest version above the base that is confirmed or asked for no confirmation is rolled out from the first ring again, unless it was halted (kept for each version now). `confirm` and its refusals are about the newest published version.

--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -118,6 +118,8 @@
         return
     ring = f", ring {reply['ring']} of {reply['rings']}" if reply["ring"] else ""
     click.echo(f"version {reply['number']} of epoch {reply['epoch']}: {reply['phase']}{ring}")
+    if reply["newest"] > reply["number"]:
+        click.echo(f"  version {reply['newest']} was not confirmed in time; this one goes on")
     if reply["confirm_left_ms"] is not None:
         click.echo(f"  waits for its confirmation, {reply['confirm_left_ms'] / 1000:.0f} s left")
     if reply["why"]:
--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -33,6 +33,7 @@
     of: int | None = None  # the number of the version that this one restores
     confirmation: ConfirmationState = ConfirmationState.NOT_REQUIRED
     confirm_deadline: BootTime | None = None  # until when it can be confirmed
+    halted: str = ""  # why its rollout was halted
 
     @classmethod
     def from_stored(cls, stored: dict) -> "Published":
--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -167,14 +167,22 @@
         if self.phase != VersionRolloutPhase.HALTED:
             self.phase = VersionRolloutPhase.EXPIRED
             self.halt_reason = f"version {self.version.number} was not confirmed in time"
-        return [RevokeVersion(front, self.version) for front in sorted(self.holders())]
+        return [RevokeVersion(front, self.version) for front in sorted(self.holders() | self.takers())]
 
     def holders(self) -> set[str]:
-        """Names of the connected fronts that hold the version or are taking it."""
+        """Names of the connected fronts that hold the version."""
         return {
             record.name
             for record in self.fronts.values()
-            if record.connected and (record.holds == self.version or record.state == FrontState.OFFERED)
+            if record.connected and record.holds == self.version
+        }
+
+    def takers(self) -> set[str]:
+        """Names of the connected fronts that were offered the version and have not answered."""
+        return {
+            record.name
+            for record in self.fronts.values()
+            if record.connected and record.state == FrontState.OFFERED
         }
 
     def publish(
@@ -189,17 +197,27 @@
             raise ValueError(f"{version} is not higher than {self.version}")
         if self.phase == VersionRolloutPhase.DONE:
             self.base = self.version
-        self.version, self.phase, self.ring, self.halt_reason, self.ring_answered_at_ms = (
-            version,
-            VersionRolloutPhase.ROLLING,
-            0,
-            "",
-            None,
-        )
-        self.confirmation = confirmation
+        self.start(version, confirmation)
+        return self.advance(now)
+
+    def start(self, version: VersionId, confirmation: ConfirmationState) -> None:
+        """Starts the rollout of a version at the first ring; no front counts as offered it."""
+        self.version, self.confirmation = version, confirmation
+        self.phase, self.halt_reason = VersionRolloutPhase.ROLLING, ""
+        self.ring, self.ring_answered_at_ms = 0, None
         for record in self.fronts.values():
             record.state, record.code, record.text = FrontState.WAITING, "", ""
             record.refused_base = False
+
+    def fall_back(
+        self, version: VersionId, now: float, confirmation: ConfirmationState
+    ) -> list[RolloutAction]:
+        """Continues, from the first ring, the rollout of an older version that an expired one had ended.
+        Guards against fronts that differ for good, and against a confirmed version that some never get."""
+        self.start(version, confirmation)
+        for record in self.fronts.values():
+            if record.holds == version:
+                record.state = FrontState.ACKED
         return self.advance(now)
 
     def resume(
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -154,8 +154,26 @@
         confirmation, halt_reason = self.confirmation_of(last), self.state.halted
         if confirmation == ConfirmationState.UNKNOWN:
             halt_reason = f"{STATE} does not tell whether version {last.number} was confirmed"
+        if confirmation == ConfirmationState.EXPIRED:
+            self.expire_pending()
+        fallback = self.interrupted_version()
+        if confirmation == ConfirmationState.EXPIRED and not halt_reason and fallback is not None:
+            last, confirmation = fallback, self.confirmation_of(fallback)
         self.carry_out(self.rollout.resume(last, halt_reason, self.clock(), confirmation))
 
+    def interrupted_version(self) -> VersionId | None:
+        """The version above the base whose rollout was ended by newer ones: the newest that was confirmed or
+        asked for no confirmation. None if there is none, or if it was halted."""
+        settled = [
+            version_id
+            for version_id in self.versions
+            if version_id > self.rollout.base
+            and self.confirmation_of(version_id)
+            in (ConfirmationState.CONFIRMED, ConfirmationState.NOT_REQUIRED)
+        ]
+        newest = max(settled, default=None)
+        return None if newest is None or self.versions[newest].halted else newest
+
     # --- the actor ---
 
     def run(self) -> None:
@@ -285,7 +303,7 @@
                     if (stream := self.streams.get(front)) is not None:
                         self.send_verdict(stream, "expired", version_id)
                 case RolloutHalted(version_id, reason):
-                    self.state.halted = reason
+                    self.state.halted = self.versions[version_id].halted = reason
                     self.save_state()
                     self.log("rollout halted", epoch=version_id.epoch, number=version_id.number, why=reason)
                 case RolloutFinished(version_id):
@@ -385,6 +403,13 @@
             case ConfirmationState.EXPIRED:
                 self.send_verdict(stream, "expired", stream.holds)
 
+    def expire_pending(self) -> None:
+        """Expires the current version and those that it followed unconfirmed: nobody can confirm them any
+        more, and fronts fall back over all of them."""
+        for published in self.versions.values():
+            if published.confirmation == ConfirmationState.PENDING:
+                published.confirmation = ConfirmationState.EXPIRED
+
     def expire_version(self) -> None:
         """Expires the current version if its time for a confirmation is over. Nothing is lost if that can't
         be saved now: a restarted service finds the same from the saved deadline."""
@@ -394,43 +419,54 @@
             or self.confirmation_of(version_id) != ConfirmationState.EXPIRED
         ):
             return
-        self.versions[version_id].confirmation = ConfirmationState.EXPIRED
+        self.expire_pending()
         self.save_state()
         self.log("version expired", level="warning", epoch=version_id.epoch, number=version_id.number)
         self.carry_out(self.rollout.expired())
+        for stream in self.streams.values():
+            if self.confirmation_of(stream.holds) == ConfirmationState.EXPIRED:
+                self.send_verdict(stream, "expired", stream.holds)
+        fallback = self.interrupted_version()
+        if self.rollout.phase == VersionRolloutPhase.EXPIRED and fallback is not None:
+            confirmation = self.confirmation_of(fallback)
+            self.carry_out(self.rollout.fall_back(fallback, self.clock(), confirmation))
 
     def confirm(self, call: OperatorCall, now: float) -> None:
         """Confirms the current version: first in the state, then at the fronts that hold or were offered it.
         The call is answered once they have acknowledged that, or after a time. Raises CallRefused."""
-        version_id = self.rollout.version
-        published = self.versions.get(version_id)
-        if published is None:
+        version_id = max(self.versions, default=NO_VERSION)
+        if version_id == NO_VERSION:
             raise CallRefused("there is no version to confirm")
+        self.check_confirmable(version_id)
+        published = self.versions[version_id]
         holders = self.rollout.holders()
         if published.confirmation == ConfirmationState.NOT_REQUIRED:
             held = {"fronts": len(holders), "waiting": []}
             call.reply({"ok": True, "number": published.number, "required": False, **held})
             return
-        if self.confirmation_of(version_id) != ConfirmationState.CONFIRMED:
-            self.check_confirmable(published)
+        if published.confirmation != ConfirmationState.CONFIRMED:
             self.save_confirmation(published)
             self.log("version confirmed", epoch=version_id.epoch, number=version_id.number)
         ends_at = now + ConfirmationCall.ANSWER_TIMEOUT_MS
-        self.confirmation_calls.append(ConfirmationCall(version_id, holders, ends_at, call.reply))
-        for name in holders:
+        concerned = holders | self.rollout.takers()
+        self.confirmation_calls.append(ConfirmationCall(version_id, concerned, ends_at, call.reply))
+        for name in set(concerned):
             self.send_verdict(self.streams[name], "confirm", version_id)
         self.carry_out(self.rollout.confirmed(now))
 
-    def check_confirmable(self, published: Published) -> None:
-        """Raises CallRefused if a version has expired or its rollout has failed: fronts roll it back."""
-        if self.confirmation_of(self.rollout.version) == ConfirmationState.EXPIRED:
+    def check_confirmable(self, version_id: VersionId) -> None:
+        """Raises CallRefused if a version has expired, or if it waits for its confirmation and its rollout
+        has failed: fronts roll it back."""
+        confirmation = self.confirmation_of(version_id)
+        if confirmation == ConfirmationState.EXPIRED:
             raise CallRefused(
-                f"version {published.number} was not confirmed in time and is rolled back; "
+                f"version {version_id.number} was not confirmed in time and is rolled back; "
                 "publish another version"
             )
-        if self.rollout.phase == VersionRolloutPhase.HALTED:
+        waits = confirmation in (ConfirmationState.PENDING, ConfirmationState.UNKNOWN)
+        if waits and self.rollout.phase == VersionRolloutPhase.HALTED:
             raise CallRefused(
-                f"the rollout of version {published.number} was halted ({self.rollout.halt_reason}); "
+                f"the rollout of version {version_id.number} was halted ({self.rollout.halt_reason}); "
                 "publish another version"
             )
 
@@ -567,6 +603,7 @@
             "why": rollout.halt_reason,
             "confirmation": rollout.confirmation.value,
             "confirm_left_ms": self.confirm_left_ms(),
+            "newest": max(self.versions, default=NO_VERSION).number,
             "base": list(self.state.base),
             "fronts": [
                 {
