A version that was confirmed needs no confirmation when it is brought back

What callers saw: `control rollback N` to a confirmed version answered that N is brought back; after the time in its text the rollback itself went back, to the version that it was to replace, unless somebody confirmed again.

Cause: rollback() publishes the old text, and publish() took `confirm` from it.

Change: a version restored from one that was confirmed, or needed no confirmation, needs none; one that expired or was never decided asks again.

Result: test_confirmed_version_that_is_brought_back_needs_no_further_confirmation[True] fails before and passes now ([False] passes in both).

--- a/myrtleroad/control/confirmation.py
+++ b/myrtleroad/control/confirmation.py
@@ -30,6 +30,9 @@
     ms: float
 
 
+SETTLED = frozenset((ConfirmationState.NOT_REQUIRED, ConfirmationState.CONFIRMED))  # nothing is waited for
+
+
 def initial_confirmation(confirm_ms: float | None) -> ConfirmationState:
     """The state of a version that has just been published; ``confirm_ms`` as its text requests it."""
     return ConfirmationState.NOT_REQUIRED if confirm_ms is None else ConfirmationState.PENDING
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -24,6 +24,7 @@
 from myrtleroad.config.scanner import MAX_DOCUMENT_BYTES
 from myrtleroad.control.boot_clock import BootClock
 from myrtleroad.control.confirmation import (
+    SETTLED,
     ConfirmationCall,
     ConfirmationState,
     confirm_deadline,
@@ -167,9 +168,7 @@
         settled = [
             version_id
             for version_id in self.versions
-            if version_id > self.rollout.base
-            and self.confirmation_of(version_id)
-            in (ConfirmationState.CONFIRMED, ConfirmationState.NOT_REQUIRED)
+            if version_id > self.rollout.base and self.confirmation_of(version_id) in SETTLED
         ]
         newest = max(settled, default=None)
         return None if newest is None or self.versions[newest].halted else newest
@@ -499,29 +498,30 @@
 
     # --- publications ---
 
-    def publish(self, text: str, now: float, restored_number: int | None = None) -> dict[str, Any]:
-        """Checks, saves and rolls out a version. Raises CallRefused."""
+    def publish(self, text: str, now: float, restored: Published | None = None) -> dict[str, Any]:
+        """Checks, saves and rolls out a version, or brings one back (``restored``), which needs no further
+        confirmation if it has had one. Raises CallRefused."""
         if len(text.encode()) > MAX_DOCUMENT_BYTES:
             raise CallRefused(f"the version has more than {MAX_DOCUMENT_BYTES} bytes")
         parsed = version.read(text.encode())
         if parsed.faults:
             raise CallRefused("\n".join(fault.describe("version") for fault in parsed.faults[:20]))
         try:
-            number = next_version_number(
-                parsed.number if restored_number is None else None, self.state.number
-            )
+            number = next_version_number(parsed.number if restored is None else None, self.state.number)
         except NumberTaken as error:
             raise CallRefused(str(error)) from None
+        is_settled = restored is not None and restored.confirmation in SETTLED
+        confirm_ms = None if is_settled else parsed.confirm_ms
         published = Published(
             self.state.epoch,
             number,
             content_digest(parsed.entries),
             text,
-            parsed.confirm_ms,
+            confirm_ms,
             parsed.note,
-            restored_number,
-            initial_confirmation(parsed.confirm_ms),
-            confirm_deadline(parsed.confirm_ms, self.boot_clock()),
+            None if restored is None else restored.number,
+            initial_confirmation(confirm_ms),
+            confirm_deadline(confirm_ms, self.boot_clock()),
         )
         self.save_published(published)
         self.add_version(published)
@@ -530,7 +530,7 @@
         for old in self.versions.keys() - kept:
             del self.versions[old], self.entries[old], self.positions[old]
         self.log(
-            "published", epoch=published.epoch, number=number, entries=len(parsed.entries), of=restored_number
+            "published", epoch=published.epoch, number=number, entries=len(parsed.entries), of=published.of
         )
         self.carry_out(self.rollout.publish(VersionId(published.epoch, number), now, published.confirmation))
         return {"number": number}
@@ -581,7 +581,7 @@
                 if kept
                 else "no version is kept"
             )
-        return self.publish(old.text, now, restored_number=number)
+        return self.publish(old.text, now, old)
 
     def confirm_left_ms(self) -> float | None:
         """How long the current version can still be confirmed; None if it does not wait for that."""
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -234,3 +234,22 @@
     ledger.apply_finished(VersionId(1, 2), 5.0)
     assert ledger.tick(5.0)[0] == ApplyVersion(NO_VERSION)
     assert answer_codes(process_offer(ledger, make_offer(1, 10))) == [(10, "rolled-back")]
+
+
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_confirmed_version_that_is_brought_back_needs_no_further_confirmation(make_deployment, confirmed):
+    # Guards against a rollback to a confirmed version that goes back by itself, to what it was to replace.
+    deployment = make_deployment()
+    front = deployment.start_front()
+    publish_unconfirmed(deployment, front)
+    if confirmed:
+        deployment.call(call="confirm")
+    deployment.publish("trial most-share=0.9")
+    wait_until(lambda: deployment.service.rollout.phase == VersionRolloutPhase.DONE)
+    assert deployment.call(call="rollback", to=1)["number"] == 3
+    wait_until(lambda: held_number(front) == 3)
+    gevent.sleep(CONFIRM_S + 0.3)
+    assert held_number(front) == (3 if confirmed else 2)
+    if confirmed:  # also when it was brought back before
+        deployment.call(call="rollback", to=3)
+        assert deployment.service.versions[max(deployment.service.versions)].confirm_ms is None
