A command whose answer is cut off says that the call may have been carried out

What callers saw: where the control service was killed after it had saved a confirmation and before it answered, `control confirm` ended with a traceback (an empty answer), or, where it hung for 10 s, with "no control service is reachable", though the version was confirmed.

Cause: call_service read errors after the call was sent like those before it, and an empty answer as JSON.

Change: NoAnswer for every call that was sent and not answered whole; the command says that it may have been carried out and where to look. OSError now means that nothing was sent.

--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -64,12 +64,14 @@
 
 def call_or_fail(folder: Path, **fields: object) -> dict:
     """Calls the service of a folder. Raises ClickException if it is not reachable or refuses."""
-    from myrtleroad.control.service import call_service
+    from myrtleroad.control.service import NoAnswer, call_service
 
     try:
         reply = call_service(folder, **fields)
     except OSError as error:
         raise click.ClickException(f"no control service is reachable in {folder}: {error}") from None
+    except NoAnswer as error:
+        raise click.ClickException(str(error)) from None
     if not reply["ok"]:
         raise click.ClickException(reply["why"])
     return reply
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -49,6 +49,7 @@
 HEARTBEAT_S, SILENCE_TIMEOUT_S = 2.0, 5.0  # as in the fronts: docs/formats/config-stream.md
 MAX_QUEUED_FRAMES = 64  # queued frames for a front; a front that reads none of them is disconnected
 CALL_SOCKET = "control.sock"
+CALL_TIMEOUT_S = 10.0  # of an operator's command
 MAX_FRONTS = 5000  # connections; further ones are closed
 
 
@@ -100,6 +101,10 @@
     """An operator's call was refused; the text is sent as the answer."""
 
 
+class NoAnswer(Exception):
+    """A call was sent and not answered, so it may have been carried out or not."""
+
+
 class ControlService:
     """The control service of one folder."""
 
@@ -709,15 +714,21 @@
 
 def call_service(folder: Path, **fields: Any) -> dict[str, Any]:
     """Sends an operator's call to the service of this folder and returns the answer. Raises OSError if
-    none is running."""
+    none is running, so that nothing was done, and NoAnswer if the call was sent and not answered."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-        sock.settimeout(10.0)
+        sock.settimeout(CALL_TIMEOUT_S)
         sock.connect(str(folder / CALL_SOCKET))
-        sock.sendall(orjson.dumps(fields) + b"\n")
         text = b""
-        while data := sock.recv(1 << 16):
-            text += data
-        return orjson.loads(text)
+        try:
+            sock.sendall(orjson.dumps(fields) + b"\n")
+            while data := sock.recv(1 << 16):
+                text += data
+            return orjson.loads(text)
+        except (OSError, ValueError) as error:
+            raise NoAnswer(
+                "the control service did not answer; the call may have been carried out: look at its status, "
+                f"and repeat the call if it was not ({type(error).__name__}: {error})"
+            ) from None
 
 
 def run_until_signal(service: ControlService) -> None:
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -7,11 +7,13 @@
 import orjson
 import pytest
 import test_versions
+from click.testing import CliRunner
+from gevent import socket
 from test_ledger import answer_codes, make_ledger, make_offer, process_offer
 from test_versions import held_number, make_failing, wait_until
 
 from myrtleroad.config.ledger import NO_VERSION, ApplyVersion, VersionId, VersionState
-from myrtleroad.control import boot_clock
+from myrtleroad.control import boot_clock, commands
 from myrtleroad.control.folder import Folder, Published, State
 from myrtleroad.control.rollout import VersionRolloutPhase
 
@@ -253,3 +255,24 @@
     if confirmed:  # also when it was brought back before
         deployment.call(call="rollback", to=3)
         assert deployment.service.versions[max(deployment.service.versions)].confirm_ms is None
+
+
+@pytest.mark.parametrize("answer", [b"", b'{"ok": tr'])
+def test_command_whose_answer_is_cut_off_says_that_it_may_have_been_carried_out(tmp_path, answer):
+    # Guards against a killed service whose last confirmation is reported as not made.
+    calls = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    calls.bind(str(tmp_path / "control.sock"))
+    calls.listen(1)
+
+    def answer_once():
+        sock, _ = calls.accept()
+        sock.recv(4096)
+        sock.sendall(answer)
+        sock.close()
+
+    gevent.spawn(answer_once)
+    result = gevent.get_hub().threadpool.apply(
+        CliRunner().invoke, (commands.control, ["confirm", str(tmp_path)])
+    )
+    calls.close()
+    assert result.exit_code == 1 and "may have been carried out" in result.output
