The number of a version that could not be saved stays free

What callers saw: "version 1 cannot be saved; publish it again later", and later "version 1 is not higher than the published version 1; number it 2".

Cause: save_published() put back everything but the number when the write failed.

Change: the number is put back too. Nothing was offered under it, so it can't stand for two contents.

Result: test_number_of_a_version_that_could_not_be_saved_stays_free fails before and passes now.

--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -543,13 +543,13 @@
     def save_published(self, published: Published) -> None:
         """Saves a version before any front is offered it, so that numbers never decrease. If it cannot be
         saved it is refused, and its number remains free."""
-        before, halted = list(self.state.published), self.state.halted
+        before, halted, number = list(self.state.published), self.state.halted, self.state.number
         self.state.number, self.state.halted = published.number, ""
         self.state.published.append(published)
         try:
             self.folder.save(self.state)
         except OSError as error:
-            self.state.published, self.state.halted = before, halted
+            self.state.published, self.state.halted, self.state.number = before, halted, number
             self.unsaved = True
             raise CallRefused(
                 f"version {published.number} cannot be saved; publish it again later: {error}"
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -276,3 +276,12 @@
     )
     calls.close()
     assert result.exit_code == 1 and "may have been carried out" in result.output
+
+
+def test_number_of_a_version_that_could_not_be_saved_stays_free(make_deployment, monkeypatch):
+    # Guards against "publish it again later" for a text whose number is then refused as taken.
+    deployment = make_deployment()
+    restore = make_failing(monkeypatch, "replace")
+    assert "publish it again" in deployment.publish("trial most-share=0.4", number=1)["why"]
+    restore()
+    assert deployment.publish("trial most-share=0.4", number=1) == {"ok": True, "number": 1}
