--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -64,7 +64,7 @@
 
 def call_or_fail(folder: Path, **fields: object) -> dict:
     """Calls the service of a folder. Raises ClickException if it is not reachable or refuses."""
-    from myrtleroad.control.service import NoAnswer, call_service
+    from myrtleroad.control.operator_calls import NoAnswer, call_service
 
     try:
         reply = call_service(folder, **fields)
--- a/tests/test_confirmation_histories.py
+++ b/tests/test_confirmation_histories.py
@@ -21,6 +21,7 @@
     VersionState,
 )
 from myrtleroad.control import service as control_service
+from myrtleroad.control import version_store
 from myrtleroad.control.confirmation import BootTime, ConfirmationState
 from myrtleroad.control.folder import Folder
 from myrtleroad.control.rollout import RolloutPlan, VersionRolloutPhase
@@ -96,7 +97,7 @@
         self.folder, self.random, self.now, self.boot = folder, Random(seed), 0.0, 0
         self.steps_to_kill, self.disk_fails, self.confirmed = None, False, set()
         self.fronts = [VirtualFront(f"n{n}") for n in range(4)]
-        monkeypatch.setattr(control_service, "BootClock", lambda: lambda: BootTime(str(self.boot), self.now))
+        monkeypatch.setattr(version_store, "BootClock", lambda: lambda: BootTime(str(self.boot), self.now))
         for name in ("fsync", "replace"):
             monkeypatch.setattr(os, name, self.failing(getattr(os, name)))
         self.service = None
@@ -133,10 +134,12 @@
             self.service.frame_received(front.stream, frame, self.now)
 
     def published(self, version):
-        return self.service.versions[version]
+        return self.service.store.versions[version]
 
     def check_applied(self, version):
-        assert self.service.confirmation_of(version) != ConfirmationState.EXPIRED, "applied after its time"
+        assert self.service.store.confirmation_of(version) != ConfirmationState.EXPIRED, (
+            "applied after its time"
+        )
 
     def call(self, **fields):
         replies = []
@@ -149,7 +152,7 @@
 
     def settle(self):
         """Lets the service and all fronts handle what is due now."""
-        self.service.retry_save()
+        self.service.store.retry()
         self.service.expire_version()
         self.service.carry_out(self.service.rollout.tick(self.now))
         while any([front.pump(self) for front in self.fronts]):
@@ -170,7 +173,7 @@
                 self.connect_all(0.5)
             case "p":
                 head = random.choice(["", "confirm=(s)1", "confirm=(s)3", "confirm=(s)8"])
-                number = self.service.state.number + 1
+                number = self.service.store.state.number + 1
                 self.call(call="publish", text=f"version {number} {head}\n")
             case "o":
                 answer = self.call(call="confirm")
@@ -210,7 +213,7 @@
             except Killed:
                 self.start_service()
             held = {front.ledger.in_force.version for front in self.fronts if front.stream is not None}
-            assert ConfirmationState.EXPIRED not in map(self.service.confirmation_of, held)
+            assert ConfirmationState.EXPIRED not in map(self.service.store.confirmation_of, held)
         self.disk_fails, self.steps_to_kill = False, None
         self.connect_all(1.0)
         end = self.now + QUIET_MS
@@ -222,7 +225,7 @@
     def check_end(self):
         rollout = self.service.rollout
         assert rollout.confirmation != ConfirmationState.PENDING
-        if any(published.halted for published in self.service.versions.values()):
+        if any(published.halted for published in self.service.store.versions.values()):
             return  # fronts of the halted version's rings hold it until the operator brings another
         held = [front.ledger.in_force.version for front in self.fronts]
         expired = rollout.phase == VersionRolloutPhase.EXPIRED
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -254,7 +254,7 @@
     assert held_number(front) == (3 if confirmed else 2)
     if confirmed:  # also when it was brought back before
         deployment.call(call="rollback", to=3)
-        assert deployment.service.versions[max(deployment.service.versions)].confirm_ms is None
+        assert deployment.service.store.versions[max(deployment.service.store.versions)].confirm_ms is None
 
 
 @pytest.mark.parametrize("answer", [b"", b'{"ok": tr'])
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -16,7 +16,7 @@
 
 from myrtleroad import interface
 from myrtleroad.config.frames import FrameDecoder, encode_frame
-from myrtleroad.control import commands, service
+from myrtleroad.control import commands, front_stream, service
 from myrtleroad.control.folder import Folder, StateError
 from myrtleroad.control.rollout import RolloutPlan, VersionRolloutPhase
 from myrtleroad.net import front
@@ -71,7 +71,7 @@
         return replies.get()
 
     def publish(self, *lines, number=None, head=""):
-        number = number or self.service.state.number + 1
+        number = number or self.service.store.state.number + 1
         return self.call(call="publish", text=version_text(number, *lines, head=head))
 
 
@@ -363,7 +363,7 @@
     deployment.publish("trial most-share=0.05")
     wait_until(lambda: held_number(running_front) == 1)
     second_deployment = Deployment(tmp_path / "other")
-    second_deployment.service.state.epoch = 2
+    second_deployment.service.store.state.epoch = 2
     (tmp_path / "config.json").write_bytes(orjson.dumps(build_config()))
     monkeypatch.setenv("NODE_CONFIG", str(tmp_path / "config.json"))
     deployment.front_file.write_text('control "{}:{}"'.format(*second_deployment.service.address))
@@ -403,7 +403,7 @@
 
 
 def test_slow_stream_delays_no_other_and_a_silent_one_ends(make_deployment, monkeypatch):
-    monkeypatch.setattr(service, "SILENCE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(front_stream, "SILENCE_TIMEOUT_S", 0.2)
     deployment = make_deployment()
     offered = connect_scripted_front(deployment, "good", True)
     slow, idle = (socket.create_connection(deployment.service.address) for _ in range(2))
@@ -454,8 +454,8 @@
     address = deployment.kill()
     deployment.serve(address)
     assert (
-        deployment.service.state.number,
-        [published.number for published in deployment.service.state.published],
+        deployment.service.store.state.number,
+        [published.number for published in deployment.service.store.state.published],
     ) == (
         3,
         [1, 3],
@@ -468,11 +468,11 @@
     restore = make_failing(monkeypatch, "fsync")
     offered = connect_scripted_front(deployment, "n0", True)
     wait_until(lambda: offered == [1] and deployment.service.rollout.phase == VersionRolloutPhase.DONE)
-    assert deployment.service.unsaved and Folder(deployment.folder).load().fronts == []
+    assert deployment.service.store.unsaved and Folder(deployment.folder).load().fronts == []
     restore()
-    wait_until(lambda: not deployment.service.unsaved)
+    wait_until(lambda: not deployment.service.store.unsaved)
     kept = Folder(deployment.folder).load()
-    assert kept.fronts == ["n0"] and kept.base == deployment.service.state.base
+    assert kept.fronts == ["n0"] and kept.base == deployment.service.store.state.base
 
 
 def test_folder_that_cannot_be_synced_after_the_rename_loses_no_number(make_deployment, monkeypatch):
@@ -482,9 +482,9 @@
         os, "open", lambda path, *rest: open_unless_folder(path, deployment.folder, real, *rest)
     )
     assert deployment.publish("trial most-share=0.05") == {"ok": True, "number": 1}
-    assert not deployment.service.folder.synced and Folder(deployment.folder).load().number == 1
+    assert not deployment.service.store.folder.synced and Folder(deployment.folder).load().number == 1
     monkeypatch.setattr(os, "open", real)
-    wait_until(lambda: deployment.service.folder.synced)
+    wait_until(lambda: deployment.service.store.folder.synced)
 
 
 def open_unless_folder(path, folder, real, *rest):
