Tests of a base that is refused or not answered, and of confirmations ahead in any order

Change: the rollout's cases for a front that has to get the base first (acknowledged, refused, no answer, gone), and two more events in the state machine of the ledger's test: a confirmation that comes before its version is in force, and an expiry of any version.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -232,6 +232,15 @@
     def confirm(self):
         self.ledger.confirm_received(self.ledger.in_force.version)
 
+    @precondition(lambda self: self.ledger.in_progress is not None)
+    @rule()
+    def confirm_ahead(self):
+        self.ledger.confirm_received(self.ledger.in_progress[0].version)
+
+    @rule(number=st.integers(1, 6), epoch=st.integers(1, 2))
+    def expire(self, number, epoch):
+        self.carry_out(self.ledger.expire_received(VersionId(epoch, number)))
+
     @rule(ms=st.floats(0.0, 8.0))
     def wait(self, ms):
         self.now += ms
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,6 +5,7 @@
 import pytest
 
 from myrtleroad.config.ledger import NO_VERSION, VersionId
+from myrtleroad.control.confirmation import ConfirmationState
 from myrtleroad.control.rollout import (
     FrontState,
     Rollout,
@@ -166,3 +167,26 @@
         VersionRolloutPhase.DONE,
         VersionRolloutPhase.ROLLING,
     )
+
+
+@pytest.mark.parametrize("answer", ["acked", "refused", "none", "gone"])
+def test_front_without_the_base_gets_it_before_a_version_that_waits_for_its_confirmation(answer):
+    # Guards against a base that is refused, not answered or cut off and holds the rollout up for good.
+    rollout = make_rollout(fronts=3, rings=(1.0,))
+    rollout.publish(TWO, 0.0, ConfirmationState.PENDING)
+    for n in range(3):
+        rollout.answer_received(f"n{n}", TWO, True, "", "", 10.0)
+    assert rollout.front_connected("late", NO_VERSION, 20.0) == [SendOffer("late", ONE)]
+    if answer in ("acked", "refused"):
+        actions = rollout.answer_received("late", ONE, answer == "acked", "widens", "", 30.0)
+        assert actions == [SendOffer("late", TWO)]
+        rollout.answer_received("late", TWO, True, "", "", 40.0)
+    elif answer == "none":
+        assert isinstance(rollout.tick(20_000.0)[0], RolloutHalted)
+        assert rollout.fronts["late"].state == FrontState.LOST
+    else:
+        assert rollout.front_disconnected("late", 30.0) == [] and rollout.tick(16_000.0) == []
+    rollout.tick(40_000.0)
+    rollout.tick(50_000.0)
+    assert rollout.phase in (VersionRolloutPhase.AWAITING_CONFIRMATION, VersionRolloutPhase.HALTED)
+    assert (rollout.phase == VersionRolloutPhase.HALTED) == (answer == "none")
