Rollout types stand by themselves; each frame of a front has a method

Change: rollout_types.py (parameters, states, actions) beside rollout.py (decisions); a method for hello, answer, rollback and acknowledged confirmation. A deadline in state.json that is not readable is a StateError. After a restart an expired version has its own reason of a halt, not that of the rollout that went on after it.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -24,7 +24,7 @@
 from myrtleroad.config.frames import FrameDecoder, encode_frame
 from myrtleroad.config.ledger import CheckOffer, Ledger, Offer, VersionId
 from myrtleroad.control.folder import Folder
-from myrtleroad.control.rollout import RolloutPlan, VersionRolloutPhase
+from myrtleroad.control.rollout_types import RolloutPlan, VersionRolloutPhase
 from myrtleroad.control.service import ControlService, OperatorCall
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.config_versions import SLICE_PAUSE_S, SLICE_S
--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -39,7 +39,7 @@
 
     from myrtleroad.control import service
     from myrtleroad.control.folder import Folder, StateError
-    from myrtleroad.control.rollout import RolloutPlan
+    from myrtleroad.control.rollout_types import RolloutPlan
     from myrtleroad.net.clock import Clock
     from myrtleroad.net.log import Log
     from myrtleroad.net.node_config import parse_address
--- a/myrtleroad/control/folder.py
+++ b/myrtleroad/control/folder.py
@@ -42,8 +42,8 @@
         if "confirmation" not in stored and version.confirm_ms is not None:
             version.confirmation = ConfirmationState.UNKNOWN
         version.confirmation = ConfirmationState(version.confirmation)
-        if version.confirm_deadline is not None:
-            version.confirm_deadline = BootTime(**stored["confirm_deadline"])
+        if (deadline := stored.get("confirm_deadline")) is not None:
+            version.confirm_deadline = BootTime(str(deadline["boot_id"]), float(deadline["ms"]))
         return version
 
 
--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -36,9 +36,9 @@
     open_call_socket,
     serve_call,
 )
-from myrtleroad.control.rollout import (
+from myrtleroad.control.rollout import Rollout
+from myrtleroad.control.rollout_types import (
     RevokeVersion,
-    Rollout,
     RolloutAction,
     RolloutFinished,
     RolloutHalted,
@@ -94,6 +94,7 @@
         if confirmation == ConfirmationState.UNKNOWN:
             halt_reason = f"{STATE} does not tell whether version {last.number} was confirmed"
         if confirmation == ConfirmationState.EXPIRED:
+            halt_reason = self.store.versions[last].halted  # not that of a rollout that went on after it
             self.store.expire_pending()
         fallback = self.store.interrupted_version(self.rollout.base)
         if confirmation == ConfirmationState.EXPIRED and not halt_reason and fallback is not None:
@@ -161,52 +162,71 @@
             due.append(now + left_ms)
         return min(due)
 
+    # --- frames of fronts ---
+
     def frame_received(self, stream: FrontStream, frame: Frame | None, now: float) -> None:
-        """Handles a frame of a front, or the end of its stream."""
+        """Handles a frame of a front, or the end of its stream. Raises KeyError, TypeError or ValueError if
+        it can't be decoded."""
         if frame is None:
-            if self.streams.get(stream.name) is stream:
-                del self.streams[stream.name]
-                self.carry_out(self.rollout.front_disconnected(stream.name, now))
+            self.stream_ended(stream, now)
             return
-        fields = frame.fields
         match frame.kind:
             case "hello":
-                stream.name, stream.holds = str(fields["name"]), decode_version_id(fields["holds"])
-                if (old := self.streams.get(stream.name)) is not None and old is not stream:
-                    old.close()  # the front has reconnected before its old stream ended
-                self.streams[stream.name] = stream
-                if stream.name not in self.rollout.fronts:
-                    self.store.state.fronts = [*self.rollout.fronts, stream.name]
-                    self.store.save()
-                self.send_outcome(stream)
-                self.carry_out(self.rollout.front_connected(stream.name, stream.holds, now))
+                self.hello_received(stream, frame.fields, now)
             case "answer" if stream.name:
-                version_id, acked = decode_version_id(fields), bool(fields["acked"])
-                if acked:
-                    stream.holds = version_id
-                    self.send_outcome(stream)
-                elif fields.get("code") == "base":
-                    # Its base differs: sends the whole text.
-                    self.offer(stream, version_id, whole=True)
-                    return
-                refusal = (
-                    str(fields.get("code", "")),
-                    self.store.with_position(
-                        version_id, str(fields.get("text", "")), fields.get("path") or []
-                    ),
-                )
-                self.carry_out(self.rollout.answer_received(stream.name, version_id, acked, *refusal, now))
+                self.answer_received(stream, frame.fields, now)
             case "back" if stream.name:
-                stream.holds = decode_version_id(fields["to"])
-                version_id, reason = decode_version_id(fields), str(fields.get("why", ""))
-                self.carry_out(
-                    self.rollout.front_rolled_back(stream.name, version_id, stream.holds, reason, now)
-                )
+                self.rollback_received(stream, frame.fields, now)
             case "confirmed" if stream.name:
-                version_id = decode_version_id(fields)
-                for call in self.confirmation_calls:
-                    if call.version == version_id:
-                        call.front_confirmed(stream.name)
+                self.confirmed_received(stream, frame.fields)
+
+    def stream_ended(self, stream: FrontStream, now: float) -> None:
+        """The stream of a front has ended; nothing changes if the front has opened another one."""
+        if self.streams.get(stream.name) is stream:
+            del self.streams[stream.name]
+            self.carry_out(self.rollout.front_disconnected(stream.name, now))
+
+    def hello_received(self, stream: FrontStream, fields: dict[str, Any], now: float) -> None:
+        """A front has connected and says what it holds. Of one name the newest stream counts."""
+        stream.name, stream.holds = str(fields["name"]), decode_version_id(fields["holds"])
+        old = self.streams.get(stream.name)
+        if old is not None and old is not stream:
+            old.close()  # the front has reconnected before its old stream ended
+        self.streams[stream.name] = stream
+        if stream.name not in self.rollout.fronts:
+            self.store.state.fronts = [*self.rollout.fronts, stream.name]
+            self.store.save()
+        self.send_outcome(stream)
+        self.carry_out(self.rollout.front_connected(stream.name, stream.holds, now))
+
+    def answer_received(self, stream: FrontStream, fields: dict[str, Any], now: float) -> None:
+        """A front has acknowledged or refused an offer. If it only lacks the base of a difference, it gets
+        the whole text."""
+        version_id, acked = decode_version_id(fields), bool(fields["acked"])
+        code, text = str(fields.get("code", "")), str(fields.get("text", ""))
+        if acked:
+            stream.holds = version_id
+            self.send_outcome(stream)
+        elif code == "base":
+            self.offer(stream, version_id, whole=True)
+            return
+        text = self.store.with_position(version_id, text, fields.get("path") or [])
+        self.carry_out(self.rollout.answer_received(stream.name, version_id, acked, code, text, now))
+
+    def rollback_received(self, stream: FrontStream, fields: dict[str, Any], now: float) -> None:
+        """A front has rolled back a version by itself."""
+        stream.holds = decode_version_id(fields["to"])
+        version_id, reason = decode_version_id(fields), str(fields.get("why", ""))
+        self.carry_out(self.rollout.front_rolled_back(stream.name, version_id, stream.holds, reason, now))
+
+    def confirmed_received(self, stream: FrontStream, fields: dict[str, Any]) -> None:
+        """A front has acknowledged the confirmation of the version that it holds."""
+        version_id = decode_version_id(fields)
+        for call in self.confirmation_calls:
+            if call.version == version_id:
+                call.front_confirmed(stream.name)
+
+    # --- actions of the rollout ---
 
     def carry_out(self, actions: list[RolloutAction]) -> None:
         """Carries out the actions of the rollout."""
--- a/tests/test_confirmation_histories.py
+++ b/tests/test_confirmation_histories.py
@@ -9,22 +9,13 @@
 import pytest
 from conftest import null_log
 
+from myrtleroad.config import ledger
 from myrtleroad.config.frames import Frame, FrameDecoder
-from myrtleroad.config.ledger import (
-    NO_VERSION,
-    ApplyVersion,
-    CheckOffer,
-    Ledger,
-    OfferAnswer,
-    ReportRollback,
-    VersionId,
-    VersionState,
-)
 from myrtleroad.control import service as control_service
 from myrtleroad.control import version_store
 from myrtleroad.control.confirmation import BootTime, ConfirmationState
 from myrtleroad.control.folder import Folder
-from myrtleroad.control.rollout import RolloutPlan, VersionRolloutPhase
+from myrtleroad.control.rollout_types import RolloutPlan, VersionRolloutPhase
 from myrtleroad.net.config_versions import decode_offer, decode_version_id
 
 STEPS, QUIET_MS = 60, 120_000.0
@@ -39,7 +30,7 @@
     """A front without sockets: a ledger that accepts every content."""
 
     def __init__(self, name):
-        self.name, self.ledger, self.stream, self.decoder, self.streams = name, Ledger(), None, None, 0
+        self.name, self.ledger, self.stream, self.decoder, self.streams = name, ledger.Ledger(), None, None, 0
 
     def connect(self, history):
         self.streams += 1
@@ -76,15 +67,15 @@
     def execute(self, actions, history):
         for action in actions:
             match action:
-                case CheckOffer(offer):
+                case ledger.CheckOffer(offer):
                     self.execute(self.ledger.check_finished(offer.nonce, offer.stream), history)
-                case ApplyVersion(version) if version != self.ledger.in_force.version:
+                case ledger.ApplyVersion(version) if version != self.ledger.in_force.version:
                     history.check_applied(version)
                     self.execute(self.ledger.apply_finished(version, history.now), history)
-                case OfferAnswer(_, nonce, version, acked, code):
+                case ledger.OfferAnswer(_, nonce, version, acked, code):
                     fields = {"nonce": nonce, "epoch": version.epoch, "number": version.number}
                     history.receive(self, Frame("answer", fields | {"acked": acked, "code": code}))
-                case ReportRollback(version, back_to, why):
+                case ledger.ReportRollback(version, back_to, why):
                     to = {"epoch": back_to.epoch, "number": back_to.number}
                     fields = {"epoch": version.epoch, "number": version.number, "to": to, "why": why}
                     history.receive(self, Frame("back", fields))
@@ -133,9 +124,6 @@
         if front.stream is not None:
             self.service.frame_received(front.stream, frame, self.now)
 
-    def published(self, version):
-        return self.service.store.versions[version]
-
     def check_applied(self, version):
         assert self.service.store.confirmation_of(version) != ConfirmationState.EXPIRED, (
             "applied after its time"
@@ -180,11 +168,8 @@
                 if answer["ok"]:
                     self.confirmed.add(answer["number"])
                     held = [front.ledger.in_force for front in self.fronts if front.stream]
-                    holders = [
-                        version for version in held if version.version == VersionId(1, answer["number"])
-                    ]
-                    assert len(holders) >= answer["fronts"]
-                    assert all(version.state == VersionState.CONFIRMED for version in holders)
+                    states = [version.state for version in held if version.version.number == answer["number"]]
+                    assert len(states) >= answer["fronts"] and set(states) <= {ledger.VersionState.CONFIRMED}
             case "x":
                 self.steps_to_kill = random.randrange(8)
             case "k":
@@ -230,7 +215,7 @@
         held = [front.ledger.in_force.version for front in self.fronts]
         expired = rollout.phase == VersionRolloutPhase.EXPIRED
         assert held == [rollout.base if expired else rollout.version] * len(held)
-        assert held[0] == NO_VERSION or self.published(held[0]).confirmation != ConfirmationState.EXPIRED
+        assert self.service.store.confirmation_of(held[0]) != ConfirmationState.EXPIRED
         assert held[0].number >= max(self.confirmed, default=0)
 
 
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -15,7 +15,7 @@
 from myrtleroad.config.ledger import NO_VERSION, ApplyVersion, VersionId, VersionState
 from myrtleroad.control import boot_clock, commands
 from myrtleroad.control.folder import Folder, Published, State
-from myrtleroad.control.rollout import VersionRolloutPhase
+from myrtleroad.control.rollout_types import VersionRolloutPhase
 
 make_deployment = test_versions.make_deployment
 CONFIRM_S = 1  # the shortest that a version may ask for
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,9 +6,9 @@
 
 from myrtleroad.config.ledger import NO_VERSION, VersionId
 from myrtleroad.control.confirmation import ConfirmationState
-from myrtleroad.control.rollout import (
+from myrtleroad.control.rollout import Rollout
+from myrtleroad.control.rollout_types import (
     FrontState,
-    Rollout,
     RolloutFinished,
     RolloutHalted,
     RolloutPlan,
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -18,7 +18,7 @@
 from myrtleroad.config.frames import FrameDecoder, encode_frame
 from myrtleroad.control import commands, front_stream, service
 from myrtleroad.control.folder import Folder, StateError
-from myrtleroad.control.rollout import RolloutPlan, VersionRolloutPhase
+from myrtleroad.control.rollout_types import RolloutPlan, VersionRolloutPhase
 from myrtleroad.net import front
 from myrtleroad.net.clock import Clock
 
