--- a/myrtleroad/control/service.py
+++ b/myrtleroad/control/service.py
@@ -96,7 +96,7 @@
         if confirmation == ConfirmationState.EXPIRED:
             halt_reason = self.store.versions[last].halted  # not that of a rollout that went on after it
             self.store.expire_pending()
-        fallback = self.store.interrupted_version(self.rollout.base)
+        fallback = self.store.interrupted_version()
         if confirmation == ConfirmationState.EXPIRED and not halt_reason and fallback is not None:
             last, confirmation = fallback, self.store.confirmation_of(fallback)
         self.carry_out(self.rollout.resume(last, halt_reason, self.clock(), confirmation))
@@ -329,7 +329,7 @@
         for stream in self.streams.values():
             if self.store.confirmation_of(stream.holds) == ConfirmationState.EXPIRED:
                 self.send_verdict(stream, "expired", stream.holds)
-        fallback = self.store.interrupted_version(self.rollout.base)
+        fallback = self.store.interrupted_version()
         if self.rollout.phase == VersionRolloutPhase.EXPIRED and fallback is not None:
             confirmation = self.store.confirmation_of(fallback)
             self.carry_out(self.rollout.fall_back(fallback, self.clock(), confirmation))
--- a/myrtleroad/control/version_store.py
+++ b/myrtleroad/control/version_store.py
@@ -107,13 +107,13 @@
             if published.confirmation == ConfirmationState.PENDING:
                 published.confirmation = ConfirmationState.EXPIRED
 
-    def interrupted_version(self, base: VersionId) -> VersionId | None:
+    def interrupted_version(self) -> VersionId | None:
         """The version above the base whose rollout was ended by newer ones: the newest that was confirmed or
         asked for no confirmation. None if there is none, or if it was halted."""
         settled = [
             version_id
             for version_id in self.versions
-            if version_id > base and self.confirmation_of(version_id) in SETTLED
+            if version_id > self.base and self.confirmation_of(version_id) in SETTLED
         ]
         newest = max(settled, default=None)
         return None if newest is None or self.versions[newest].halted else newest
