An offer that says it is confirmed counts only for the content in force

Cause: found by reading: offer_received() took `confirmed` of an offer before it compared the digest, so that an offer of other content under the same number would have confirmed what is in force.

Change: the digest has to be that of the version in force.

--- a/myrtleroad/config/ledger.py
+++ b/myrtleroad/config/ledger.py
@@ -151,7 +151,7 @@
         """Answers an offer, starts its check or queues it."""
         if offer.stream not in self.streams:
             return []
-        if offer.confirmed:
+        if offer.confirmed and offer.digest == self.in_force.digest:
             self.confirm_received(offer.version)
         answer = self.known_answer(offer)
         if answer is not None:
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -2,6 +2,7 @@
 the control service."""
 
 import errno
+from dataclasses import replace
 
 import gevent
 import orjson
@@ -121,6 +122,8 @@
     ledger.apply_finished(VersionId(1, 2), 0.0)
     assert (ledger.in_force.version.number, ledger.tick(5000.0)) == (2, [])
     process_offer(ledger, make_offer(3, confirm=1000.0))
+    ledger.offer_received(replace(make_offer(3, 30, digest="x"), confirmed=True))
+    assert ledger.in_force.state == VersionState.APPLIED  # other content was confirmed
     assert ledger.confirm_received(VersionId(1, 3)) and ledger.confirm_received(VersionId(1, 3))
 
 
