Failures and answers of a ring are methods of their own

Cause: Rollout.advance had grown past one screen.

Change: failed_fronts() and have_answered() are taken out of it. No behaviour changes.

Result: test_rollout, test_confirmation_histories and test_versions: 127 passed.

--- a/myrtleroad/control/rollout.py
+++ b/myrtleroad/control/rollout.py
@@ -251,11 +251,7 @@
         while True:
             self.mark_lost_fronts(now)
             ring = self.ring_members(self.ring)
-            failed = [
-                record
-                for record in self.offered_fronts()
-                if record.state in (FrontState.REFUSED, FrontState.BACK, FrontState.LOST)
-            ]
+            failed = self.failed_fronts()
             if len(failed) > self.plan.bad_share * len(ring):
                 # Guards against distributing a bad version further, also when a ring that was done fails
                 # later.
@@ -264,11 +260,7 @@
             for record in ring:
                 if record.state == FrontState.WAITING and record.connected:
                     actions.append(self.offer(record, now))
-            if not ring or any(
-                record.state in (FrontState.OFFERED, FrontState.BASE_OFFERED)
-                or self.may_be_restarting(record, now)
-                for record in ring
-            ):
+            if not self.have_answered(ring, now):
                 self.ring_answered_at_ms = None
                 return actions
             self.ring_answered_at_ms = now if self.ring_answered_at_ms is None else self.ring_answered_at_ms
@@ -282,6 +274,18 @@
                 return [*actions, RolloutFinished(self.version)]
             self.ring, self.ring_answered_at_ms = self.ring + 1, None
 
+    def failed_fronts(self) -> list[FrontRecord]:
+        """The fronts that were offered the version and refused it, are lost or rolled it back."""
+        failures = (FrontState.REFUSED, FrontState.BACK, FrontState.LOST)
+        return [record for record in self.offered_fronts() if record.state in failures]
+
+    def have_answered(self, ring: list[FrontRecord], now: float) -> bool:
+        """Whether every front of a ring has answered, and none may be restarting. An empty ring has not."""
+        open_states = (FrontState.OFFERED, FrontState.BASE_OFFERED)
+        return bool(ring) and not any(
+            record.state in open_states or self.may_be_restarting(record, now) for record in ring
+        )
+
     def offer_to_late_fronts(self, now: float) -> list[RolloutAction]:
         """Offers the version to fronts that connect after the end of the rollout."""
         actions: list[RolloutAction] = []
