The soak says how long after SIGTERM a lost request was sent

Cause: requests lost around a stop could not be told apart: in the front's time, or on a new connection after it has closed its listening socket.

Change: the text of a violation `lost` has the time since the front's SIGTERM, if there was one. No check changes.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -96,8 +96,12 @@
         return request.outcome in (Outcome.CLOSED, Outcome.SILENT)
 
     def describe_outcome(self, request: Request) -> str:
-        """Returns the outcome and its time for the text of a violation."""
-        return f"{request.outcome} {request.ended - request.sent:.3f} s after it was sent"
+        """Returns the outcome and its time for the text of a violation, and when the front was stopped."""
+        text = f"{request.outcome} {request.ended - request.sent:.3f} s after it was sent"
+        for process in self.records.lives:
+            if process.front == request.front and process.stopped and process.stopped <= request.sent:
+                text += f", {request.sent - process.stopped:.4f} s after a SIGTERM"
+        return text
 
     # --- duplicate executions, attempts after the client has left ---
 
