--- a/myrtleroad/control/commands.py
+++ b/myrtleroad/control/commands.py
@@ -122,6 +122,8 @@
     click.echo(f"version {reply['number']} of epoch {reply['epoch']}: {reply['phase']}{ring}")
     if reply["newest"] > reply["number"]:
         click.echo(f"  version {reply['newest']} was not confirmed in time; this one goes on")
+    if reply["confirmation"] == "confirmed":
+        click.echo("  confirmed")
     if reply["confirm_left_ms"] is not None:
         click.echo(f"  waits for its confirmation, {reply['confirm_left_ms'] / 1000:.0f} s left")
     if reply["why"]:
--- a/tests/test_confirmation_histories.py
+++ b/tests/test_confirmation_histories.py
@@ -166,7 +166,7 @@
             case "o":
                 answer = self.call(call="confirm")
                 if answer["ok"]:
-                    self.confirmed.add(answer["number"])
+                    self.confirmed.add(number := answer["number"])
                     held = [front.ledger.in_force for front in self.fronts if front.stream]
                     states = [version.state for version in held if version.version.number == answer["number"]]
                     assert len(states) >= answer["fronts"] and set(states) <= {ledger.VersionState.CONFIRMED}
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -175,9 +175,8 @@
     gevent.sleep(CONFIRM_S / 2)
     later = deployment.start_front("n1")
     wait_until(lambda: held_number(later) == 2)
-    assert later.config_versions.ledger.last_good.version.number == 1
-    left_ms = later.config_versions.ledger.confirm_deadline_ms - later.clock()
-    assert left_ms <= CONFIRM_S * 500.0
+    assert (ledger := later.config_versions.ledger).last_good.version.number == 1
+    assert ledger.confirm_deadline_ms - later.clock() <= CONFIRM_S * 500.0
     if confirmed:
         assert deployment.call(call="confirm")["fronts"] == 2
         disconnect(later)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -188,5 +188,4 @@
         assert rollout.front_disconnected("late", 30.0) == [] and rollout.tick(16_000.0) == []
     rollout.tick(40_000.0)
     rollout.tick(50_000.0)
-    assert rollout.phase in (VersionRolloutPhase.AWAITING_CONFIRMATION, VersionRolloutPhase.HALTED)
-    assert (rollout.phase == VersionRolloutPhase.HALTED) == (answer == "none")
+    assert rollout.phase.name == {"none": "HALTED"}.get(answer, "AWAITING_CONFIRMATION")
