--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -28,6 +28,7 @@
     exposure_window_s: float = 2.0
     free_attempts: float = 1.0
     max_sockets: int = 384
+    memory_mb: int = 192
     idle_timeout_s: float = 15.0
 
     def settings(self) -> dict[str, object]:
@@ -104,7 +105,7 @@
             "listen": self.listen_address,
             "discovery": self.discovery_address,
             "seed": self.seed,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": deployment.max_sockets},
+            "limits": {"cores": 1.0, "memory_mb": deployment.memory_mb, "sockets": deployment.max_sockets},
             "platform": {"address": self.platform_address, "news": self.stage_update},
             "known": self.server_list,
             "settings": deployment.settings(),
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -17,6 +17,11 @@
 )
 from soak.records import Attempt, Records
 
+# Targets below which a server responds in a way that costs the front memory; all others get a short body.
+LONG_TARGET, UNFINISHED_TARGET = "/api/long", "/api/unfinished"
+LONG_BODY_BYTES = 65_000
+LONG_RESPONSE_DELAY_S = 0.2
+
 
 class ServerMode(StrEnum):
     """How a server treats requests."""
@@ -88,6 +93,10 @@
             gevent.sleep(30.0)
             return False
         attempt.ran = True
+        if target.startswith((LONG_TARGET, UNFINISHED_TARGET)):
+            gevent.sleep(LONG_RESPONSE_DELAY_S)
+            sock.sendall(long_response() if target.startswith(LONG_TARGET) else unfinished_response())
+            return True
         gevent.sleep(self.mean_service_s * self.random.expovariate(1.0))
         sock.sendall(response(200, response_body(request_id), X_Pressure="TEXT active=1"))
         return True
@@ -114,3 +123,15 @@
 def response_body(request_id: str) -> bytes:
     """Returns the response body for a request, with its id, so that clients detect mixed-up responses."""
     return b"answer to " + request_id.encode()
+
+
+def long_response() -> bytes:
+    """Returns a response whose body is nearly as long as the protocol allows."""
+    return response(200, b"x" * LONG_BODY_BYTES)
+
+
+def unfinished_response() -> bytes:
+    """Returns the beginning of a response: a head of many short fields and half of the body."""
+    fields = {f"F{number}": "v" for number in range(90)}
+    whole = response(200, b"x" * LONG_BODY_BYTES, **fields)
+    return whole[: -LONG_BODY_BYTES // 2]
