The trial's statistics in plain Python: a front loads neither numpy nor scipy

Change: policy/distributions.py (normal, Student's t, inverse binomial by the incomplete beta's continued fraction), policy/build_counts.py (the test by the platform's counts), trimmed moments with exact sums. numpy and scipy are needed by tests only.

--- a/myrtleroad/cli.py
+++ b/myrtleroad/cli.py
@@ -1,7 +1,6 @@
 """The command line: serve, check, version, and the command groups config and control."""
 
 import importlib
-import os
 import sys
 
 import click
@@ -49,9 +48,6 @@
 
     What the platform's configuration has no field for, such as the address of a control service, is read from
     a second file (see deploy/front.kdl)."""
-    # A front shares a single core, so the linear algebra library must not start threads; each of them would
-    # take memory of its own.
-    os.environ["OPENBLAS_NUM_THREADS"] = "1"
     from myrtleroad.net import front, node_config
 
     try:
--- a/myrtleroad/policy/trial.py
+++ b/myrtleroad/policy/trial.py
@@ -3,54 +3,85 @@
 Method and source: ``docs/design.md``."""
 
 from collections import deque
-from collections.abc import Iterable
-from math import sqrt
-
-import numpy as np
-from scipy.special import bdtri, ndtr, stdtr
+from collections.abc import Iterable, Sequence
+from math import fsum, sqrt
+from operator import mul
+from typing import NamedTuple
 
 from myrtleroad import interface
 from myrtleroad.interface import Verdict
+from myrtleroad.policy.build_counts import BuildCounts
+from myrtleroad.policy.distributions import binomial_probability, student_t_cdf
 
 # Score of an attempt (its duration in ms, or the route's timeout if it failed), covariate, time of its end,
 # attempts on the server when it was sent, and whether it completed.
 Sample = tuple[float, float, float, float, bool]
 
 
-def trimmed(sample: list[Sample]) -> tuple[np.ndarray, np.ndarray, int]:
-    """Trimmed means of score and covariate, the winsorized sums of their squares and products over
-    kept * (kept - 1), and kept, the number of samples that are left. Trims 1% at each end."""
-    values = np.array([x[:2] for x in sample]).T
-    ordered, count = np.sort(values), len(sample)
-    trim_count = int(0.01 * count)  # trimmed share as in ``docs/design.md``
-    low, high, kept = ordered[:, [trim_count]], ordered[:, [count - trim_count - 1]], count - 2 * trim_count
-    return (
-        ordered[:, trim_count : count - trim_count].mean(axis=1),
-        np.cov(values.clip(low, high)) * (count - 1) / (kept * (kept - 1)),
+class TrimmedMoments(NamedTuple):
+    """Of one sample of scores (ms) and covariates (ms): trimmed means, and sums of squares and products of
+    the winsorized values over ``kept * (kept - 1)``. ``kept`` is the number of samples that are left."""
+
+    score_mean: float
+    covariate_mean: float
+    score_variance: float
+    covariate_variance: float
+    covariance: float
+    kept: int
+
+
+def trimmed(sample: Sequence[Sequence[float]]) -> TrimmedMoments:
+    """The moments of a sample of (score, covariate, ...), 1% of it trimmed at each end
+    (``docs/design.md``)."""
+    count = len(sample)
+    trim_count = int(0.01 * count)
+    kept = count - 2 * trim_count
+    (score_mean, scores), (covariate_mean, covariates) = (
+        trimmed_mean_and_deviations([x[column] for x in sample], trim_count) for column in range(2)
+    )
+    divisor = kept * (kept - 1)
+    return TrimmedMoments(
+        score_mean,
+        covariate_mean,
+        fsum(x * x for x in scores) / divisor,
+        fsum(x * x for x in covariates) / divisor,
+        fsum(map(mul, scores, covariates)) / divisor,
         kept,
     )
 
 
-def yuen_cuped(trial: list[Sample], earlier: list[Sample], margin: float) -> tuple[float, float, float]:
+def trimmed_mean_and_deviations(values: list[float], trim_count: int) -> tuple[float, list[float]]:
+    """Mean without ``trim_count`` values at each end, and the deviations of all winsorized values from the
+    mean of these."""
+    ordered = sorted(values)
+    low, high = ordered[trim_count], ordered[-1 - trim_count]
+    if low == high:
+        return low, [0.0] * len(values)
+    winsorized = [min(max(x, low), high) for x in values]
+    winsorized_mean = fsum(winsorized) / len(values)
+    kept = ordered[trim_count : len(ordered) - trim_count]
+    return fsum(kept) / len(kept), [x - winsorized_mean for x in winsorized]
+
+
+def yuen_cuped(
+    trial: Sequence[Sequence[float]], earlier: Sequence[Sequence[float]], margin: float
+) -> tuple[float, float, float]:
     """One-sided p that the trial's mean exceeds ``margin`` times the earlier one's, and both means (section
     3.3 of the paper named in ``docs/design.md``)."""
-    (
-        ((trial_mean, trial_covariate), trial_cov, trial_kept),
-        ((earlier_mean, earlier_covariate), earlier_cov, earlier_kept),
-    ) = trimmed(trial), trimmed(earlier)
-    summed_cov, trial_variance, earlier_variance = trial_cov + earlier_cov, trial_cov[0, 0], earlier_cov[0, 0]
-    theta = summed_cov[0, 1] / summed_cov[1, 1] if summed_cov[1, 1] > 0 else 0.0
-    difference = trial_mean - margin * earlier_mean - theta * (trial_covariate - earlier_covariate)
-    variance = (
-        trial_variance + earlier_variance + theta * theta * summed_cov[1, 1] - 2 * theta * summed_cov[0, 1]
-    )
-    if variance <= 0 or earlier_variance + trial_variance <= 0:
-        return (0.0 if difference > 0 else 1.0), float(trial_mean), float(earlier_mean)
-    degrees = (earlier_variance + trial_variance) ** 2 / (
-        earlier_variance * earlier_variance / (earlier_kept - 1)
-        + trial_variance * trial_variance / (trial_kept - 1)
-    )
-    return float(stdtr(degrees, -difference / sqrt(variance))), float(trial_mean), float(earlier_mean)
+    new, old = trimmed(trial), trimmed(earlier)
+    covariance = new.covariance + old.covariance
+    covariate_variance = new.covariate_variance + old.covariate_variance
+    score_variance = new.score_variance + old.score_variance
+    theta = covariance / covariate_variance if covariate_variance > 0 else 0.0
+    difference = new.score_mean - margin * old.score_mean - theta * (new.covariate_mean - old.covariate_mean)
+    variance = score_variance + theta * theta * covariate_variance - 2 * theta * covariance
+    degrees_divisor = old.score_variance * old.score_variance / (
+        old.kept - 1
+    ) + new.score_variance * new.score_variance / (new.kept - 1)
+    if variance <= 0 or degrees_divisor <= 0:
+        return (0.0 if difference > 0 else 1.0), new.score_mean, old.score_mean
+    degrees = score_variance * score_variance / degrees_divisor
+    return student_t_cdf(degrees, -difference / sqrt(variance)), new.score_mean, old.score_mean
 
 
 class TrialTest:
@@ -71,7 +102,7 @@
             1, min(settings.rollout.votes_to_roll_back, settings.balancers)
         )
         # So chosen that as many fronts as are needed err together with probability 0.05.
-        self.alpha = float(bdtri(votes_needed - 1, settings.balancers, 0.95))
+        self.alpha = binomial_probability(votes_needed - 1, settings.balancers, 0.95)
         self.min_samples, self.decided_short_of_samples = (
             max(self.MIN_HINT_SAMPLES, -(-self.MIN_SAMPLES // votes_needed)),
             True,
@@ -84,15 +115,14 @@
         self.earlier, self.trial = (deque(maxlen=self.MAX_SAMPLES) for _ in range(2))
         self.baseline_scores: list[deque[float]] = [deque(maxlen=100) for _ in settings.routes]
         self.last_stage, self.has_new_counts = len(settings.rollout.stage_caps) - 1, False
-        # Platform counts. Axes: trial, earlier build, before the trial; route; attempts, errors, total ms.
-        self.counts = np.zeros((3, len(settings.routes), 3))
+        self.build_counts = BuildCounts(len(settings.routes))
         self.start_trial(-1)
 
     def start_trial(self, build: int) -> None:
         """Start the test of a new build: the samples so far become the time before the trial."""
         self.build, self.tested_stage, self.verdict = build, -1, Verdict.NONE
         self.before = list(self.earlier)
-        self.counts[0], self.counts[2] = 0.0, self.counts[1]
+        self.build_counts.start_trial()
         self.earlier.clear()
         self.trial.clear()
         known = all(len(scores) >= 5 for scores in self.baseline_scores)
@@ -116,55 +146,16 @@
 
     def add_counts(self, counts: interface.AttemptCounts) -> None:
         """Add the platform's counts; older ones decay by half."""
-        row = self.counts[0 if counts.build >= self.build > 0 else 1, counts.route]
-        row[:] = 0.5 * row + (
-            counts.attempts,
-            counts.errors,
-            (counts.attempts - counts.errors) * counts.mean_duration_ms,
-        )
+        self.build_counts.add(counts, on_trial=counts.build >= self.build > 0)
         self.has_new_counts = True
 
     def p_from_counts(self, released: bool) -> float:
         """p that the trial build is slower or fails more by the platform's counts. Once the build is
         released: p that it fails more than before the trial, provided that this front's attempts fail too."""
-        known_routes = (self.counts[..., 0] >= 5).all(axis=0)
-        if not known_routes.any():
-            return 1.0
-        attempts, errors, total_ms = self.counts[:, known_routes].transpose(2, 0, 1)
-        error_rate, completed = errors / attempts, np.maximum(attempts - errors, 1.0)
-        error_variance, mean_ms_ratio = (
-            (error_rate * (1 - error_rate) + 0.01) / attempts,
-            total_ms[0] / completed[0] / (total_ms[1] / completed[1] + 1),
-        )
-
-        def z(difference: np.ndarray, variance: np.ndarray) -> float:
-            """The z value of a difference, over the routes by the trial's attempts."""
-            # A route that is far worse than any other is left out, as it may be slow everywhere.
-            used_routes = np.argsort(difference)
-            used_routes = (
-                used_routes[:-1]
-                if difference[used_routes[-1]] > 3 * max([0.05, *difference[used_routes[:-1]]])
-                else used_routes
-            )
-            return float(difference[used_routes] @ attempts[0, used_routes]) / sqrt(
-                float(variance[used_routes] @ attempts[0, used_routes] ** 2) + 1e-9
-            )
-
-        worse_than_before = z(
-            error_rate[0] - error_rate[2] - (0.15 if released else 0.1), error_variance[0] + error_variance[2]
-        )
-        if released:
-            return (
-                float(ndtr(-worse_than_before))
-                if 2 * sum(not x[4] for x in self.trial) > len(self.trial) > 4
-                else 1.0
-            )
-        worse = z(error_rate[0] - 1.5 * error_rate[1] - 0.05, error_variance[0] + 2.25 * error_variance[1])
-        slower = z(
-            mean_ms_ratio - self.MARGIN_OVER_TIME,
-            mean_ms_ratio**2 / completed[0] + self.MARGIN_OVER_TIME**2 / completed[1],
-        )
-        return float(ndtr(-max(slower, worse, min(worse_than_before, 4 * worse))))
+        if not released:
+            return self.build_counts.p_worse(self.MARGIN_OVER_TIME)
+        own_attempts_fail = 2 * sum(not x[4] for x in self.trial) > len(self.trial) > 4
+        return self.build_counts.p_worse_after_release() if own_attempts_fail else 1.0
 
     # Margin against the time before the trial, as servers may have slowed since for other reasons; ``MARGIN``
     # is used while the front is overloaded.
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -9,6 +9,7 @@
 from myrtleroad import interface
 from myrtleroad.membership.lease import LeaseTerms, ListLease
 from myrtleroad.policy.balancer import Balancer
+from myrtleroad.policy.build_counts import RouteCounts
 from myrtleroad.policy.state import Attempt
 
 
@@ -503,7 +504,9 @@
 
 def test_counts_of_no_attempts_are_ignored(balancer):
     balancer.record_counts(interface.AttemptCounts(9, 0, 0, 0, 0.0, 0.0), 0.0)
-    assert not balancer.trial_test.has_new_counts and not balancer.trial_test.counts.any()
+    kept = balancer.trial_test.build_counts
+    assert not balancer.trial_test.has_new_counts
+    assert all(x == RouteCounts() for side in (kept.trial, kept.earlier, kept.before) for x in side)
 
 
 @pytest.mark.parametrize(("counts", "expected"), [(0.0, [1.35, 1.175, 1.0, 1.0]), (2000.0, [1.35] * 4)])
