--- a/myrtleroad/cli.py
+++ b/myrtleroad/cli.py
@@ -48,16 +48,9 @@
 
     What the platform's configuration has no field for, such as the address of a control service, is read from
     a second file (see deploy/front.kdl)."""
-    from myrtleroad.net import front, node_config
+    from myrtleroad.serve import serve as run_front
 
-    try:
-        config = node_config.read_node_config()
-        program = front.Front(config, front_file=also)
-    except node_config.ConfigError as error:
-        sys.exit(f"myrtleroad: {error}")
-    except OSError as error:
-        sys.exit(f"myrtleroad: cannot listen: {error}")
-    program.run()
+    run_front(also)
 
 
 @main.command("version")
