Peers with a numeric address are connected to without the resolver's threads

Seen: an idle front had three threads. socket.create_connection asks gevent's resolver even for a numeric address, which starts threads with stacks and heaps of their own. Change: net/connecting.connect_by_name, for discovery, the stage updates, votes and the control service.

--- a/myrtleroad/net/config_versions.py
+++ b/myrtleroad/net/config_versions.py
@@ -27,6 +27,7 @@
     VersionId,
 )
 from myrtleroad.membership.call_backoff import CallBackoff, FollowerSettings
+from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
 from myrtleroad.net.loop_turn import current_turn
@@ -313,7 +314,7 @@
         self.newest_stream += 1
         number, reason, sock = self.newest_stream, "ended", None
         try:
-            sock = socket.create_connection(self.address, CONNECT_TIMEOUT_S)
+            sock = connect_by_name(self.address, CONNECT_TIMEOUT_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(SILENCE_TIMEOUT_S)
             self.sockets[number], self.opened_at[number] = sock, self.clock()
--- a/myrtleroad/net/connecting.py
+++ b/myrtleroad/net/connecting.py
@@ -29,3 +29,13 @@
         raw.close()
         raise
     return socket.socket(system.AF_INET, system.SOCK_STREAM, 0, raw.detach())
+
+
+def connect_by_name(address: Address, timeout_s: float) -> socket.socket:
+    """A connection to an address whose host may be a name. Raises as ``connect``."""
+    try:
+        system.inet_aton(address[0])
+    except OSError:
+        return socket.create_connection(address, timeout_s)
+    # Without the resolver, which starts threads.
+    return connect(address, timeout_s)
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -5,7 +5,6 @@
 from random import Random
 
 import gevent
-from gevent import socket
 
 from myrtleroad import interface
 from myrtleroad.membership.call_backoff import CallBackoff, FollowerSettings, ServiceKind
@@ -14,6 +13,7 @@
 from myrtleroad.membership.stream_follower import FreshnessChanged
 from myrtleroad.membership.stream_quota import StreamLimits
 from myrtleroad.net import http1
+from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.json_stream import JsonObjectReader
 from myrtleroad.net.log import Log
@@ -188,7 +188,7 @@
         self.counters.add("lists_fetched")
         try:
             with gevent.Timeout(FETCH_TIMEOUT_S, TimeoutError):
-                sock = socket.create_connection(self.address, CONNECT_TIMEOUT_S)
+                sock = connect_by_name(self.address, CONNECT_TIMEOUT_S)
                 http1.send(sock, http1.request_parts("GET", "/api/targets", http1.host_header(self.address)))
                 while not parser.complete:
                     data = http1.receive(sock)
--- a/myrtleroad/net/platform.py
+++ b/myrtleroad/net/platform.py
@@ -5,12 +5,12 @@
 from urllib.parse import parse_qsl, urlencode
 
 import gevent
-from gevent import socket
 from gevent.queue import SimpleQueue
 
 from myrtleroad import interface
 from myrtleroad.membership.stream_quota import StreamLimits
 from myrtleroad.net import http1
+from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.discovery import follower_settings
 from myrtleroad.net.exchange_result import ExchangeFailure, ExchangeProgress, FailureCause, UpstreamResponse
@@ -158,7 +158,7 @@
         progress, sock, parser = ExchangeProgress.NOT_CONNECTED, None, http1.ResponseParser()
         try:
             with gevent.Timeout(self.timeout_s, TimeoutError):
-                sock = socket.create_connection(self.address)
+                sock = connect_by_name(self.address, self.timeout_s)
                 progress = ExchangeProgress.CONNECTED
                 host = http1.host_header(self.address)
                 http1.send(sock, http1.request_parts("POST", "/v1/", host, urlencode(fields).encode()))
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 from gevent.queue import SimpleQueue
 
@@ -22,6 +21,7 @@
 )
 from myrtleroad.membership.stream_quota import StreamLimits, StreamQuota
 from myrtleroad.net import http1
+from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
 from myrtleroad.net.loop_turn import current_turn
@@ -109,7 +109,7 @@
         """Connect and read until the stream ends; returns the reason of the end."""
         sock = None
         try:
-            sock = socket.create_connection(self.address, CONNECT_TIMEOUT_S)
+            sock = connect_by_name(self.address, CONNECT_TIMEOUT_S)
             self.connected = True
             sock.settimeout(None)  # the follower decides when silence has lasted too long
             http1.send(sock, http1.request_parts("GET", self.target, http1.host_header(self.address)))
