--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -37,7 +37,6 @@
 
 # descriptors for everything else: log, clock, both streams (twice while they change address), a vote, spares
 RESERVED_DESCRIPTORS = 24
-MIN_VOID_TIMERS = 64  # before timers that nothing waits for any more are removed
 # requests in progress on one server: a load report above it, or not a number, is ignored
 MAX_REPORTED_LOAD = 1e6
 IN_SERVICE = interface.ServerStatus.IN_SERVICE
@@ -114,7 +113,7 @@
         self.open_requests: dict[int, OpenRequest] = {}  # entries are removed as requests end
         # IDs of open requests and running attempts; entries are removed as they end
         self.ids_in_use: Counter[bytes] = Counter()
-        # removed as each timer expires, or once most of them are void
+        # removed as each timer expires
         self.timers: list[tuple[float, int, RequestCoroutine | None, int]] = []
         self.timer_count = 0
         # server number by ID, and the reverse; entries are removed as servers leave the list
@@ -270,7 +269,7 @@
                 if not self.contained("wake", lambda: self.execute_actions(self.balancer.wake(now), now)):
                     # an exception must not stop the module's timer
                     self.set_timer(now + 100.0, DECISION_WAKEUP, 0)
-            elif self.is_awaited(coroutine, wait_number):
+            elif coroutine.wait_number == wait_number and coroutine.request_id in self.open_requests:
                 self.resume(self.open_requests[coroutine.request_id], None, now)
 
     def record_delay(self, counter: str, delay_ms: float, now: float) -> None:
@@ -297,16 +296,6 @@
         """Add a timer. One of a request is void if the request is in another wait by then."""
         self.timer_count += 1
         heapq.heappush(self.timers, (at, self.timer_count, coroutine, wait_number))
-        # Guards against clients that name a deadline hours ahead: their requests' timers stay until then.
-        if len(self.timers) > 2 * len(self.open_requests) + MIN_VOID_TIMERS:
-            self.timers = [timer for timer in self.timers if self.is_awaited(timer[2], timer[3])]
-            heapq.heapify(self.timers)
-
-    def is_awaited(self, coroutine: RequestCoroutine | None, wait_number: int) -> bool:
-        """Whether a timer still counts: the module's, or one whose request is in the wait that it ends."""
-        if coroutine is DECISION_WAKEUP:
-            return True
-        return coroutine.wait_number == wait_number and coroutine.request_id in self.open_requests
 
     def start_request(self, message: RequestReceived, now: float) -> None:
         """Give a request to the module, or reject it if it waited too long or its ID is in use."""
