Room for new clients is made by old partial requests, not by connections that just came

Beside clients that send a body without pause usual clients were shed (289 of 297), while the crowd kept its places. Cause: ClientListener.make_room closed idle connections before partial requests, and among idle ones a connection of 1 ms counted like one of 2 s; partial requests with unread bytes were never given up. Change: what is newer than 250 ms is closed last; where only unread bytes keep old partial requests, these are shed with an answer.

--- a/myrtleroad/net/client_connection.py
+++ b/myrtleroad/net/client_connection.py
@@ -24,6 +24,7 @@
 # To receive a whole request, from its first byte, or from connecting for the first request of a connection.
 # The documented limit is 3 s.
 REQUEST_READ_TIMEOUT_MS = 2500.0
+NEW_CONNECTION_MS = 250.0  # in which a client that connects sends its request
 LINGER_TIMEOUT_MS = 1000.0  # for a client to read the last response and close before the front closes
 # For a client to read a response: the system's buffers hold 64 KiB, and a client that reads needs
 # milliseconds.
@@ -101,6 +102,11 @@
         """Whether no response is due and no part of a request has been read."""
         return self.ready_for_request.is_set() and not self.parser.started
 
+    def is_new(self, now: float) -> bool:
+        """Whether the connection, or the request that it has received in part, is too new to be given up for
+        others: usual clients' requests are whole after a moment."""
+        return now - self.timed_from < NEW_CONNECTION_MS
+
     def run(self) -> None:
         """Reads requests until the connection ends, then releases all that it holds."""
         self.start_delay_ms, self.first_turn = (
--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -197,15 +197,27 @@
 
     def make_room(self) -> bool:
         """Closes some connections; returns whether it could close any. First those whose last response has
-        been written, then those idle for longest, then those with part of a request. Connections with an open
-        request, or with unread bytes before their last response, stay."""
+        been written, then those idle for longest, then those with part of a request, and those that are new
+        last. Connections with an open request stay. So do those with unread bytes before their last response;
+        of these, requests that have been incomplete for long are shed."""
+        now = self.clock()
         candidates = sorted(
             (c for c in self.connections if c.ready_for_request.is_set()),
             key=lambda c: (not c.closing, c.parser.started, c.timed_from),
         )
-        to_close = [
-            c for c in candidates[: self.MAX_CLOSED_AT_ONCE] if c.closing or http1.peek(c.sock) is None
-        ]
+        older = [c for c in candidates if c.closing or not c.is_new(now)][: self.MAX_CLOSED_AT_ONCE]
+        if self.close_unless_unread(older):
+            return True
+        if incomplete := [c for c in older if c.parser.started]:
+            for connection in incomplete:
+                connection.end_with(self.overloaded())
+            return False
+        return self.close_unless_unread(candidates[: self.MAX_CLOSED_AT_ONCE])
+
+    def close_unless_unread(self, connections: list[ClientConnection]) -> bool:
+        """Closes connections but for those with unread bytes before their last response; returns whether
+        there were any to close."""
+        to_close = [c for c in connections if c.closing or http1.peek(c.sock) is None]
         for connection in to_close:
             self.counters.add("idle_closed")
             connection.close()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -222,3 +222,32 @@
     )
     dispatcher_actor.apply_updates()  # servers that still had attempts are removed with the next list
     assert len(dispatcher_actor.servers) == 1024 - 150 and not dispatcher_actor.ids_in_use
+
+
+def test_a_connection_that_has_just_come_is_not_closed_for_room_before_old_partial_requests():
+    # Guards against slow writers of heads: usual clients' new connections were closed first, as idle ones.
+    listener, received = start_listener(sockets=30)  # room for three clients
+    slow = [connect(listener) for _ in range(2)]
+    for client in slow:
+        client.sendall(VALID_REQUEST[:40])
+    gevent.sleep(0.3)
+    usual, other = connect(listener), connect(listener)
+    gevent.sleep(0.02)
+    assert len(listener.connections) == 2  # the slow ones were closed
+    for client in (usual, other):
+        client.sendall(VALID_REQUEST)
+        received.get().respond(response.shed(0.0))
+        assert read_status(client)[0] == 503
+
+
+def test_old_partial_requests_that_send_on_are_shed_for_room_with_an_answer():
+    # Guards against usual clients that are shed while a crowd that sends on and on keeps its places.
+    listener, _ = start_listener(sockets=30)
+    slow = [connect(listener) for _ in range(3)]
+    for client in slow:
+        client.sendall(VALID_REQUEST[:40])
+    gevent.sleep(0.3)
+    for client in slow:
+        client.sendall(VALID_REQUEST[40:60])  # not read before the next call
+    assert not listener.make_room()
+    assert [read_status(client)[0] for client in slow] == [503] * 3
