A listed server has a greenlet only while it has an attempt or a connection

Seen: a front with 1,024 servers took 71.6 MB on, 14 kB for each server, used or not; most of it is the greenlet of its actor. Change: the actor's greenlet starts with a message and ends once there is no attempt, no connection and no message. Test: test_a_listed_server_has_a_greenlet_only_while_it_has_work.

--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -380,7 +380,8 @@
                 self.respond(open_request, response.bad_gateway())
             case interface.CancelAttempt():
                 if server := self.servers.get(open_request.attempt_servers[action.attempt_number]):
-                    server.mailbox.put(StopAttempt(open_request.coroutine.request_id, action.attempt_number))
+                    stop = StopAttempt(open_request.coroutine.request_id, action.attempt_number)
+                    self.post_to_server(server, stop)
             case _:
                 raise TypeError(f"not an action of a request: {action!r}")
 
@@ -402,7 +403,14 @@
         open_request.attempt_servers.append(action.server)
         self.ids_in_use[message.header(b"x-txn")] += 1
         self.counters.add("tries")
-        self.servers[action.server].mailbox.put(StartAttempt(job))
+        self.post_to_server(self.servers[action.server], StartAttempt(job))
+
+    def post_to_server(self, server: UpstreamServer, message: object) -> None:
+        """Send a message to a server's actor, and start that if it has no greenlet."""
+        server.mailbox.put(message)
+        if not server.is_active:
+            server.is_active = True
+            gevent.spawn(keep_running, "machine", server.run_while_busy, self.counters, self.log)
 
     def exposure_cap(self, build: int) -> float:
         """The cap of a build on trial, inf for any other build."""
@@ -507,10 +515,9 @@
                     self.attempt_ended,
                     self.preconditions_hold,
                 )
-                actor = self.servers[number] = UpstreamServer(server.address, *server_args)
-                gevent.spawn(keep_running, "machine", actor.run, self.counters, self.log)
+                self.servers[number] = UpstreamServer(server.address, *server_args)
             elif self.server_places[number] != place:
-                self.servers[number].mailbox.put(ServerAddressChanged(server.address))
+                self.post_to_server(self.servers[number], ServerAddressChanged(server.address))
             self.server_places[number] = place
         server_ids, zones = self.out_of_service
         entries = [
@@ -526,7 +533,7 @@
             self.balancer.update_server_list(interface.ServerListUpdate(listing.kind, entries), now), now
         )
         for number in [number for number in self.servers if number not in self.balancer.servers]:
-            self.servers.pop(number).mailbox.put(ServerRemoved())
+            self.post_to_server(self.servers.pop(number), ServerRemoved())
             del self.server_places[number]
             del self.server_numbers[self.server_ids.pop(number)]
 
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -136,7 +136,8 @@
 
 
 class UpstreamServer:
-    """One upstream server; runs until the server is removed and its last attempt has ended."""
+    """One upstream server. It has a greenlet only while it has an attempt or a connection: a list may hold
+    thousands of servers."""
 
     def __init__(
         self,
@@ -157,33 +158,50 @@
         self.idle_connections: list[Connection] = []
         self.running: dict[tuple[int, int], gevent.Greenlet] = {}  # entries are removed as attempts end
         self.removed = False
+        self.is_active = False  # whether a greenlet processes the mailbox
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether there is an attempt, a connection or a message."""
+        return bool(self.running or self.idle_connections or not self.mailbox.empty())
 
     def run(self) -> None:
-        """Process messages, and close stale idle connections between them."""
+        """Process messages until the server is removed and its last attempt has ended."""
         while not (self.removed and not self.running):
-            try:
-                message = self.mailbox.get(timeout=IDLE_SWEEP_S if self.idle_connections else None)
-            except Empty:
-                self.close_stale()
-                continue
-            match message:
-                case StartAttempt(job):
-                    self.start_attempt(job)
-                case ConnectionReleased(job, connection):
-                    self.running.pop((job.request_id, job.attempt_number), None)
-                    if connection is not None:
-                        self.keep_idle(connection)
-                case StopAttempt(request_id, attempt_number):
-                    if running := self.running.get((request_id, attempt_number)):
-                        # a greenlet that has not started yet would end without reporting a result
-                        gevent.sleep(0)
-                        running.kill(block=False)
-                case ServerAddressChanged(address):
-                    self.address, self.generation = address, self.generation + 1
-                    self.close_idle()
-                case ServerRemoved():
-                    self.removed = True
-                    self.close_idle()
+            self.process_next()
+
+    def run_while_busy(self) -> None:
+        """Process messages until there is no attempt and no connection. To be called again once there is a
+        message."""
+        while self.is_busy:
+            self.process_next()
+        self.is_active = False
+
+    def process_next(self) -> None:
+        """Process the next message, or close stale idle connections if none comes for a while."""
+        try:
+            message = self.mailbox.get(timeout=IDLE_SWEEP_S if self.idle_connections else None)
+        except Empty:
+            self.close_stale()
+            return
+        match message:
+            case StartAttempt(job):
+                self.start_attempt(job)
+            case ConnectionReleased(job, connection):
+                self.running.pop((job.request_id, job.attempt_number), None)
+                if connection is not None:
+                    self.keep_idle(connection)
+            case StopAttempt(request_id, attempt_number):
+                if running := self.running.get((request_id, attempt_number)):
+                    # a greenlet that has not started yet would end without reporting a result
+                    gevent.sleep(0)
+                    running.kill(block=False)
+            case ServerAddressChanged(address):
+                self.address, self.generation = address, self.generation + 1
+                self.close_idle()
+            case ServerRemoved():
+                self.removed = True
+                self.close_idle()
 
     def start_attempt(self, job: AttemptJob) -> None:
         """Start an attempt in a greenlet of its own."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -379,3 +379,15 @@
     )
     events = [orjson.loads(line)["event"] for line in os.read(reader, 65536).splitlines()]
     assert events[-2:] == ["counters", "stopped"]
+
+
+def test_a_listed_server_has_a_greenlet_only_while_it_has_work():
+    # Guards against 10 kB for each server of a long list, whether it is ever used or not.
+    dispatcher_actor = build_dispatcher(discovery_entry("s-1", SERVER_ADDRESS))
+    (server_actor,) = dispatcher_actor.servers.values()
+    assert not server_actor.is_active
+    submit_request(dispatcher_actor, within_ms=50.0)
+    assert server_actor.is_active
+    while server_actor.is_active:
+        gevent.sleep(0.001)
+    assert not server_actor.is_busy
