A client's time is at most its route's timeout

Seen: X-Remaining-Ms may name 11 days. A request to a server that hangs is then open for as long, and its attempt goes on after the client has left: some hundred such requests take every connection to servers, until the processes restart.

--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -279,10 +279,8 @@
             return response.rejected(400)
         self.last_request_id += 1
         is_repeat = message.header(b"x-resent") == b"1"
-        timeout_ms = float(remaining)
-        if self.settings is not self.node_config.facts:
-            # The operators' limit; the client's own timeout may be shorter.
-            timeout_ms = min(timeout_ms, self.settings.routes[route].timeout_ms)
+        # Guards against clients that name hours: their attempts at a server that hangs would last as long.
+        timeout_ms = min(float(remaining), self.settings.routes[route].timeout_ms)
         return interface.Request(
             self.last_request_id, route, tenant, None, received_at + timeout_ms, 0.0, is_repeat
         )
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -306,3 +306,10 @@
     first.respond(response.shed(0.0))
     gevent.sleep(0.1)
     assert received.empty() and not listener.connections
+
+
+def test_a_client_that_names_a_far_deadline_gets_the_time_of_its_route():
+    # Guards against attempts at a hung server that last for as long as a client likes, up to 11 days.
+    listener, received = start_listener()
+    connect(listener).sendall(VALID_REQUEST.replace(b"480", b"999999999"))
+    assert received.get().request.deadline <= listener.clock() + 2000
