Log lines that wait are limited by their bytes

Seen by reading, on the way through all queues that a peer can fill: a thousand lines may wait for a slow reader of the log, and a line has no bound (the text of an error, names of up to 256 characters). Change: 256 KiB of lines wait at most; later ones are dropped and counted as before.

--- a/myrtleroad/net/log.py
+++ b/myrtleroad/net/log.py
@@ -29,11 +29,13 @@
     """Queues lines and writes them to a descriptor without blocking the caller."""
 
     ACTOR_NAME = "log"  # the actor's name in log events
-    MAX_LINES = 1000  # lines that wait for a slow reader; later ones are dropped and counted
+    # Lines that wait for a slow reader, and their bytes; later ones are dropped and counted.
+    MAX_LINES, MAX_BYTES = 1000, 256 * 1024
 
     def __init__(self, clock: Callable[[], float], fd: int = 1, level: str = "info"):
         self.clock, self.fd = clock, fd
         self.lines: deque[bytes] = deque()  # drained by the writer
+        self.queued_bytes = 0  # in ``lines``
         self.dropped = 0
         self.level = level  # lines below it are not written; a configuration version may change it
         self.has_lines = Event()
@@ -47,10 +49,15 @@
         if len(self.lines) >= self.MAX_LINES:
             self.dropped += 1
             return
-        line = {"at_ms": round(self.clock(), 1), "event": event, **fields}
+        entry = {"at_ms": round(self.clock(), 1), "event": event, **fields}
         if level != "info":
-            line["level"] = level
-        self.lines.append(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE, default=str))
+            entry["level"] = level
+        line = orjson.dumps(entry, option=orjson.OPT_APPEND_NEWLINE, default=str)
+        if self.queued_bytes + len(line) > self.MAX_BYTES:
+            self.dropped += 1
+            return
+        self.lines.append(line)
+        self.queued_bytes += len(line)
         self.has_lines.set()
 
     def is_enabled(self, level: str) -> bool:
@@ -63,7 +70,13 @@
             self.has_lines.wait()
             self.has_lines.clear()
             while self.lines:
-                self.write(self.lines.popleft())
+                self.write(self.take_line())
+
+    def take_line(self) -> bytes:
+        """Remove the oldest queued line and return it."""
+        line = self.lines.popleft()
+        self.queued_bytes -= len(line)
+        return line
 
     def write(self, line: bytes) -> None:
         """Write one line. A line that the system does not accept is dropped and counted; nothing else
@@ -79,7 +92,7 @@
         """At exit: write the lines still queued, as far as the reader accepts them within 0.5 s."""
         with gevent.Timeout(0.5, False):
             while self.lines:
-                self.write(self.lines.popleft())
+                self.write(self.take_line())
 
 
 class RateLimitedWarnings:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -40,3 +40,15 @@
     )
     with pytest.raises(ValueError, match="loud"):
         level_from_environment({LEVEL_VARIABLE: "loud"})
+
+
+def test_long_lines_that_nobody_reads_are_dropped_by_their_bytes():
+    # Guards against a log that holds a thousand lines of any length.
+    log = Log(Clock(), os.open(os.devnull, os.O_WRONLY))
+    for _ in range(Log.MAX_LINES):
+        log("fault", error="x" * 10_000)
+    assert sum(map(len, log.lines)) == log.queued_bytes <= Log.MAX_BYTES
+    assert len(log.lines) + log.dropped == Log.MAX_LINES
+    while log.lines:
+        log.write(log.take_line())
+    assert log.queued_bytes == 0
