All memory that peers can cause is budgeted against what the limit leaves

Cause: an eighth of the configured memory was set aside for requests, whether or not so much was left; connections and responses were limited by descriptors alone; requests of clients that had left, and lists while they are decoded, were not counted; nothing measured the process. Change: admission/memory_budget.py divides limit - program as measured after the start - reserve - listed servers among connections, attempts, requests, responses and lists. A response has its memory counted in one piece before it is read beyond 4 KiB, else it waits in the system's buffers; one may always go on; a response for which no memory comes in its time ends as CANCELLED: it may have run and says nothing of the server. A request for whose attempt there is no memory gets 503 at once. Short requests and responses (4 KiB) are part of their connection and never wait. net/memory_monitor.py measures every 100 ms, reduces the pool near the limit, and logs 'memory limits' and 'memory short'. Bodies are written without copies.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -84,8 +84,8 @@
 
 
 def record_requests(used: MemoryUse, run: SoakRun) -> None:
-    """Records outcomes and latencies of the usual clients' requests."""
-    requests = run.records.requests
+    """Records outcomes and latencies of the usual clients' requests, but for those open at a kill."""
+    requests = [request for request in run.records.requests if not request.front_killed]
     used.outcomes = Counter(str(request.outcome) for request in requests)
     latencies = sorted(request.ended - request.sent for request in requests if request.outcome is not None)
     used.p99_ms = 1000 * latencies[int(0.99 * len(latencies))] if latencies else 0.0
--- a/myrtleroad/net/client_connection.py
+++ b/myrtleroad/net/client_connection.py
@@ -9,6 +9,8 @@
 from gevent import socket
 from gevent.event import Event
 
+from myrtleroad.admission.request_memory import counted_bytes
+from myrtleroad.admission.response_memory import ResponseLease
 from myrtleroad.net import http1, response
 from myrtleroad.net.actor import report_fault
 from myrtleroad.net.dispatcher import ClientGone, RequestReceived
@@ -56,6 +58,7 @@
         "discarded_bytes",
         "first_turn",
         "has_received_request",
+        "held_request",
         "listener",
         "loop_turn",
         "open_request_id",
@@ -65,6 +68,7 @@
         "pipelined_since",
         "ready_for_request",
         "response_due",
+        "response_lease",
         "shed_only",
         "sock",
         "start_delay_ms",
@@ -81,6 +85,9 @@
         self.parser = http1.RequestParser()
         self.open_request_id: int | None = None  # the request that the dispatcher has
         self.response_due = False  # a request has no response yet; only the first response is written
+        # What memory is counted for: the whole request that is open, and the response that is being written.
+        self.held_request: http1.Message | None = None
+        self.response_lease: ResponseLease | None = None
         self.ready_for_request = Event()  # set while no response is due
         self.ready_for_request.set()
         # Whether the next response is the last or the last is already written; whether a whole request came.
@@ -205,11 +212,19 @@
         """Counts the memory of the current request, and sheds the requests for which there is none; returns
         False if this one was shed."""
         memory, parser = self.listener.request_memory, self.parser
-        hold = memory.hold_complete if parser.complete else memory.hold_partial
-        evicted = hold(self, parser.held_bytes) if parser.started else []
-        for connection in evicted:
+        held_bytes = counted_bytes(parser.held_bytes)
+        if not held_bytes:
+            return True
+        if not parser.complete:
+            evicted = memory.hold_partial(self, held_bytes)
+        else:
+            memory.release(self)
+            self.held_request = parser.message
+            evicted = memory.hold_complete(self.held_request, held_bytes)
+        for holder in evicted:
+            connection = self if holder is self.held_request else holder
             connection.end_with(self.listener.out_of_memory())
-        return self not in evicted
+        return self not in evicted and self.held_request not in evicted
 
     def wait_for_response(self) -> bool:
         """Waits until the due response has been written; returns False if the client disconnects first."""
@@ -274,10 +289,11 @@
             return  # it has its response already, or the client has disconnected
         self.open_request_id, self.response_due = None, False
         self.release_tenant()
-        self.listener.request_memory.release(self)
+        self.release_request()
         self.closing = self.closing or self.listener.stopping or self.listener.is_crowded
         self.listener.counters.add(f"answers_{final_response.status}")
         self.write_started_at = self.listener.clock()
+        self.response_lease = final_response.lease
         parts = self.serialize(final_response)
         unsent = self.close_on_error(lambda: http1.send_nowait(self.sock, parts))
         if unsent:
@@ -301,12 +317,20 @@
             self.listener.request_limits.release(self.counted_tenant)
         self.counted_tenant = None
 
-    def write_rest(self, unsent: bytes) -> None:
+    def release_request(self) -> None:
+        """Ends the counting of the memory of the current request."""
+        memory = self.listener.request_memory
+        memory.release(self)
+        if self.held_request is not None:
+            memory.release(self.held_request)
+            self.held_request = None
+
+    def write_rest(self, unsent: list[memoryview]) -> None:
         """Writes what the system did not take of a response at once, as the client reads."""
         self.close_on_error(lambda: http1.send_all(self.sock, unsent))
         self.finish_response()
 
-    def close_on_error(self, write: Callable[[], bytes | None]) -> bytes | None:
+    def close_on_error(self, write: Callable[[], list[memoryview] | None]) -> list[memoryview] | None:
         """Closes the connection if a response cannot be written; otherwise its reader would wait for it for
         ever."""
         try:
@@ -323,15 +347,15 @@
         if self.closing:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
-        self.timed_from, self.write_started_at = self.listener.clock(), None
+        self.timed_from, self.write_started_at, self.response_lease = self.listener.clock(), None, None
         self.ready_for_request.set()
 
     def close(self) -> None:
         """Closes the socket and removes the connection from its listener."""
-        self.closing = True
+        self.closing, self.response_lease = True, None
         self.sock.close()
         self.listener.connections.discard(self)
-        self.listener.request_memory.release(self)
+        self.release_request()
 
     def check_timeouts(self, now: float) -> None:
         """Applies the connection's timeouts; they do not affect a request that the dispatcher has."""
--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -8,15 +8,15 @@
 
 from myrtleroad import interface
 from myrtleroad.admission.admission_control import AdmissionControl, AdmissionDecision
-from myrtleroad.admission.request_memory import RequestMemory
+from myrtleroad.admission.memory_budget import MemoryBudget
 from myrtleroad.net import http1, response
 from myrtleroad.net.client_connection import ClientConnection
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
-from myrtleroad.net.dispatcher import RESERVED_DESCRIPTORS
 from myrtleroad.net.listening_socket import open_listener, try_set_option
 from myrtleroad.net.log import Log, RateLimitedWarnings
 from myrtleroad.net.loop_turn import TurnQuota, current_turn
+from myrtleroad.net.memory_monitor import memory_budget
 from myrtleroad.net.node_config import NodeConfig
 from myrtleroad.net.read_delay import ReadDelay
 
@@ -25,10 +25,6 @@
     from myrtleroad.config.request_limits import RequestLimits
 
 SWEEP_INTERVAL_S = 0.1  # between checks of all connections; two find an overdue request, both within 3 s
-BYTES_PER_MB = 1024 * 1024
-# Of the front's memory, for the requests of all clients. Servers' answers need as much, and the rest is the
-# program's own.
-REQUEST_MEMORY_SHARE = 1 / 8
 MAX_TRANSACTION_ID_LENGTH = 128  # characters; several times the length of the common forms
 
 
@@ -37,7 +33,7 @@
 
     ACTOR_NAME = "door"  # the actor's name in log events
     # Connections accepted beyond the clients' half, only to shed their first request: a third of
-    # RESERVED_DESCRIPTORS.
+    # ``RESERVED_DESCRIPTORS``.
     EXTRA_CONNECTIONS = 8
     MAX_CLOSED_AT_ONCE = 16  # connections closed together when descriptors run short
     ACCEPTS_PER_TURN = 16  # of the event loop; what is read and answered has the rest of the turn
@@ -51,17 +47,15 @@
         log: Log,
         deliver: Callable[[object], None],
         is_ready: Callable[[], bool],
+        memory: MemoryBudget | None = None,
     ):
         self.node_config, self.clock, self.counters, self.log = node_config, clock, counters, log
         self.deliver, self.is_ready = deliver, is_ready
         self.connections: set[ClientConnection] = set()  # a connection is removed as it closes
         self.read_delay, self.unread_warnings = ReadDelay(clock), RateLimitedWarnings(log)
         self.admission = AdmissionControl(r.objective_ms for r in node_config.facts.routes)
-        # Half of the descriptors; the other half is for connections to servers.
-        self.max_connections = (node_config.sockets - RESERVED_DESCRIPTORS) // 2
-        # Connections kept open between requests: fewer than the third that open requests may hold.
-        self.max_kept_alive = node_config.sockets // 4
-        self.request_memory = RequestMemory(int(node_config.memory_mb * BYTES_PER_MB * REQUEST_MEMORY_SHARE))
+        self.memory = memory or memory_budget(node_config)
+        self.request_memory = self.memory.requests
         self.last_request_id = 0
         self.stopping = False
         # The settings as operators limit them, their networks and their request limits, each in effect now.
@@ -70,6 +64,17 @@
         self.sock = open_listener(node_config.listen)
         self.closed = False  # whether accepting has ended
 
+    @property
+    def max_connections(self) -> int:
+        """How many connections descriptors and memory allow."""
+        return self.memory.limits.connections
+
+    @property
+    def max_kept_alive(self) -> int:
+        """How many connections are kept open between requests: fewer than the third of the descriptors that
+        open requests may hold."""
+        return self.node_config.sockets // 4 * self.max_connections // self.memory.max_clients
+
     @property
     def is_crowded(self) -> bool:
         """Whether each response is its connection's last. Guards against clients that send one request and
@@ -212,7 +217,9 @@
             for connection in incomplete:
                 connection.end_with(self.overloaded())
             return False
-        return self.close_unless_unread(candidates[: self.MAX_CLOSED_AT_ONCE])
+        # Of those that are new incomplete requests first: who has just connected is about to send.
+        newer = sorted(candidates, key=lambda c: (not c.parser.started, c.timed_from))
+        return self.close_unless_unread(newer[: self.MAX_CLOSED_AT_ONCE])
 
     def close_unless_unread(self, connections: list[ClientConnection]) -> bool:
         """Closes connections but for those with unread bytes before their last response; returns whether
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -7,6 +7,7 @@
 import gevent
 
 from myrtleroad import interface
+from myrtleroad.admission.memory_budget import MAX_SERVERS, MemoryBudget
 from myrtleroad.membership.call_backoff import CallBackoff, FollowerSettings, ServiceKind
 from myrtleroad.membership.lease import LeaseTerms, ListLease
 from myrtleroad.membership.server_list import ListChange, ListMessage, Restriction, ServerList
@@ -18,6 +19,7 @@
 from myrtleroad.net.json_stream import JsonObjectReader
 from myrtleroad.net.log import Log
 from myrtleroad.net.loop_turn import current_turn
+from myrtleroad.net.memory_monitor import memory_budget
 from myrtleroad.net.node_config import (
     DECODE_ERRORS,
     ListedServer,
@@ -32,8 +34,6 @@
 HEARTBEAT_MS = 2000.0  # interval of empty lines while nothing changes (protocol)
 # for a separate request of the whole list: a service that queues its callers takes as long
 FETCH_TIMEOUT_S = 2.5
-MAX_SERVERS = 4096  # more than a list of the largest size names; each takes some 13 kB
-TOO_MANY_SERVERS = f"more than {MAX_SERVERS} servers"
 LIST_KEY = b'"generation"'  # a key of every list and of no server entry
 RESTRICTIONS = {
     interface.ServerStatus.IN_SERVICE: Restriction.NONE,
@@ -82,9 +82,17 @@
     NAME, ENDED_COUNTER = "list", "watches_ended"
     MAX_LINE_BYTES = MAX_LIST_BYTES
     # Several whole lists at once, and each second a list or a change of a quarter of its servers one by one.
-    LIMITS = StreamLimits(8 * MAX_LIST_BYTES, MAX_LIST_BYTES, 4096, 1024.0)
-
-    def __init__(self, node_config: NodeConfig, counters: Counters, log: Log, context: FollowerContext):
+    LIMITS = StreamLimits(8 * MAX_LIST_BYTES, MAX_LIST_BYTES, MAX_SERVERS, MAX_SERVERS / 4)
+
+    def __init__(
+        self,
+        node_config: NodeConfig,
+        counters: Counters,
+        log: Log,
+        context: FollowerContext,
+        memory: MemoryBudget | None = None,
+    ):
+        self.memory = memory or memory_budget(node_config)
         self.lease = ListLease(LeaseTerms.from_settings(node_config.facts))
         super().__init__(
             node_config.discovery, list_follower_settings(node_config), node_config, counters, log, context
@@ -104,6 +112,10 @@
         self.readers: dict[int, JsonObjectReader] = {}
         self.fetching = False
 
+    @property
+    def max_line_bytes(self) -> int:
+        return min(self.MAX_LINE_BYTES, self.memory.limits.list_bytes)
+
     def open_stream(self, number: int) -> Stream:
         self.sources[number] = self.stream_follower.source
         return Stream(number, f"/api/targets?watch=1&after={self.server_list.version}", self)
@@ -118,13 +130,15 @@
         )
 
     def process_line(self, stream: Stream, line: bytes) -> None:
-        object_text = self.readers.setdefault(stream.number, JsonObjectReader(LIST_KEY)).feed(line)
+        if stream.number not in self.readers:
+            self.readers[stream.number] = JsonObjectReader(LIST_KEY, self.max_line_bytes)
+        object_text = self.readers[stream.number].feed(line)
         if object_text is None:
             return
         self.count_message()
         message = self.decode_list(object_text, self.sources[stream.number])
         if self.holds_too_many_with(message):
-            raise ValueError(TOO_MANY_SERVERS)
+            raise ValueError(self.too_many_servers)
         watched = stream.has_delivered and self.stream_follower.freshness is interface.ListFreshness.FRESH
         change = self.server_list.apply_message(message, self.stream_follower.is_sole_source(stream.number))
         if message.source == self.server_list.source:
@@ -132,14 +146,20 @@
         self.apply_change(change, watched)
 
     def holds_too_many_with(self, message: ListMessage[ListedServer]) -> bool:
-        """Whether the front would hold more than ``MAX_SERVERS`` with this message."""
+        """Whether the front would hold more servers with this message than its memory allows."""
+        max_servers = self.memory.limits.servers
         if message.whole:
-            return len(message.entries) > MAX_SERVERS
+            return len(message.entries) > max_servers
         held_back = self.server_list.held_back
         held_back_entries = held_back.entries if held_back is not None else {}
-        if len(self.server_list.entries) + len(held_back_entries) + len(message.entries) <= MAX_SERVERS:
+        if len(self.server_list.entries) + len(held_back_entries) + len(message.entries) <= max_servers:
             return False
-        return len(self.server_list.entries | held_back_entries | message.entries) > MAX_SERVERS
+        return len(self.server_list.entries | held_back_entries | message.entries) > max_servers
+
+    @property
+    def too_many_servers(self) -> str:
+        """The reason for which a list is refused that holds too many servers."""
+        return f"more than {self.memory.limits.servers} servers"
 
     def stream_gone(self, stream: Stream) -> None:
         source = self.sources.pop(stream.number, self.server_list.source)
@@ -184,7 +204,7 @@
     def fetch_list(self, source: int) -> ListFetched:
         """Request the whole list in a separate call."""
         # as long as one line of a watch
-        sock, parser = None, http1.ResponseParser(max_body_bytes=MAX_LIST_BYTES)
+        sock, parser = None, http1.ResponseParser(max_body_bytes=self.max_line_bytes)
         self.counters.add("lists_fetched")
         try:
             with gevent.Timeout(FETCH_TIMEOUT_S, TimeoutError):
@@ -214,7 +234,7 @@
             self.log("list whole missed", why=message.error)
             return self.apply_change(ListChange(False, {}, refetch_reason=message.error))
         if self.holds_too_many_with(message.message):
-            self.log("list whole missed", why=TOO_MANY_SERVERS)
+            self.log("list whole missed", why=self.too_many_servers)
             return None
         change = self.server_list.apply_fetched(message.message)
         if change is not None and not change.refetch_reason:
--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -11,6 +11,7 @@
 
 from myrtleroad import interface
 from myrtleroad.admission.admission_control import AdmissionControl, AdmissionDecision
+from myrtleroad.admission.memory_budget import MemoryBudget
 from myrtleroad.admission.request_accounting import unaccounted_requests
 from myrtleroad.net import response
 from myrtleroad.net.actor import keep_running, report_fault
@@ -19,9 +20,11 @@
 from myrtleroad.net.exchange_result import UpstreamResponse
 from myrtleroad.net.http1 import Message
 from myrtleroad.net.log import Log, RateLimitedWarnings
+from myrtleroad.net.memory_monitor import memory_budget
 from myrtleroad.net.node_config import Address, NodeConfig, ServerListing
 from myrtleroad.net.stream_poller import StreamPoller
 from myrtleroad.net.upstream_server import (
+    NOT_SENT,
     AttemptJob,
     AttemptResult,
     ConnectionBudget,
@@ -35,8 +38,6 @@
 from myrtleroad.request_coroutine import RequestCoroutine
 from myrtleroad.settings import LOAD_COLUMN
 
-# descriptors for everything else: log, clock, both streams (twice while they change address), a vote, spares
-RESERVED_DESCRIPTORS = 24
 # requests in progress on one server: a load report above it, or not a number, is ignored
 MAX_REPORTED_LOAD = 1e6
 IN_SERVICE = interface.ServerStatus.IN_SERVICE
@@ -98,7 +99,14 @@
 
     ACTOR_NAME = "brain"  # the actor's name in log events
 
-    def __init__(self, node_config: NodeConfig, clock: Clock, counters: Counters, log: Log):
+    def __init__(
+        self,
+        node_config: NodeConfig,
+        clock: Clock,
+        counters: Counters,
+        log: Log,
+        memory: MemoryBudget | None = None,
+    ):
         self.node_config, self.clock, self.counters, self.log = node_config, clock, counters, log
         self.mailbox: SimpleQueue = SimpleQueue()
         # lists and stage updates, processed before the mailbox; drained by ``apply_updates``
@@ -124,8 +132,11 @@
         # address and start time of each server, removed with it
         self.server_places: dict[int, tuple[Address, float]] = {}
         self.logged_stage: tuple[int, int, str, float] | None = None  # the last one logged
-        # the other half is for clients
-        self.connection_budget = ConnectionBudget((node_config.sockets - RESERVED_DESCRIPTORS) // 2)
+        self.memory = memory or memory_budget(node_config)
+        self.connection_budget = ConnectionBudget(
+            self.memory.limits.attempts, responses=self.memory.responses
+        )
+        self.running_attempts = 0  # that have not reported a result
         # server IDs and zones that operators took out of service
         self.out_of_service: tuple[frozenset[str], frozenset[int]] = (frozenset(), frozenset())
         # called after a stage update has reached the module
@@ -298,7 +309,8 @@
         heapq.heappush(self.timers, (at, self.timer_count, coroutine, wait_number))
 
     def start_request(self, message: RequestReceived, now: float) -> None:
-        """Give a request to the module, or reject it if it waited too long or its ID is in use."""
+        """Give a request to the module, or answer it at once if it waited too long, there is no memory for an
+        attempt, or its ID is in use."""
         request, transaction = message.request, message.message.header(b"x-txn")
         decision = self.admission.decide(
             message.read_delay_ms + now - message.received_at, request.deadline - now, now
@@ -307,6 +319,10 @@
             self.counters.add(f"reqs_waited_{decision.name.lower()}")
             message.respond(response.overloaded(self.node_config.facts))
             return
+        if self.running_attempts >= self.memory.limits.attempts:
+            self.counters.add("reqs_over_memory")
+            message.respond(response.overloaded(self.node_config.facts))
+            return
         if transaction in self.ids_in_use:
             # Guards against a second copy: this ID belongs to another request, whose attempts may still run.
             message.respond(response.rejected(409))
@@ -322,7 +338,9 @@
     def finish_attempt(self, message: AttemptResult, now: float) -> None:
         """Pass the result of an attempt to the module and to its request, if that is still open."""
         job = message.job
+        self.running_attempts -= 1
         self.release_id(job.message)
+        self.memory.requests.release(job.message)
         open_request = self.open_requests.get(job.request_id)
         completed = message.outcome == interface.Outcome.COMPLETED
         load = self.load_report(message)
@@ -403,6 +421,13 @@
         open_request.attempt_servers.append(action.server)
         self.ids_in_use[message.header(b"x-txn")] += 1
         self.counters.add("tries")
+        self.running_attempts += 1
+        self.connection_budget.limit = self.memory.limits.attempts
+        self.memory.requests.retain(message)
+        if self.running_attempts > self.memory.limits.attempts:
+            self.counters.add("tries_over_memory")
+            self.attempt_ended(AttemptResult(job, interface.Outcome.MOOT, 0.0, NOT_SENT))
+            return
         self.post_to_server(self.servers[action.server], StartAttempt(job))
 
     def post_to_server(self, server: UpstreamServer, message: object) -> None:
@@ -536,6 +561,8 @@
             self.post_to_server(self.servers.pop(number), ServerRemoved())
             del self.server_places[number]
             del self.server_numbers[self.server_ids.pop(number)]
+        self.memory.set_servers(len(self.servers))
+        self.connection_budget.limit = self.memory.limits.attempts
 
     def server_number(self, server_id: str) -> int:
         """The number of a server; a server that has left the list and returns gets another one."""
--- a/myrtleroad/net/exchange_result.py
+++ b/myrtleroad/net/exchange_result.py
@@ -4,6 +4,7 @@
 from enum import IntEnum, StrEnum
 
 from myrtleroad import interface
+from myrtleroad.admission.response_memory import ResponseLease
 
 
 class ExchangeProgress(IntEnum):
@@ -25,6 +26,7 @@
     UNREADABLE = "unreadable"  # the received bytes are no valid HTTP response
     CANCELLED = "cancelled"  # by the dispatcher
     WITHDRAWN = "withdrawn"  # a server list or stage update ruled it out just before it was written
+    NO_MEMORY = "no memory"  # the front had none left for the response
     OVERDUE = "overdue"  # the request's deadline passed before it was written
 
 
@@ -45,6 +47,7 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: list[bytes | bytearray] = field(default_factory=list)
     keep_alive: bool = True
+    lease: ResponseLease | None = None  # the memory that is counted for it
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header by its lower-case name."""
@@ -66,4 +69,6 @@
         return interface.Outcome.NOT_CONNECTED
     if result.cause == FailureCause.TIMEOUT:
         return interface.Outcome.TIMEOUT
-    return interface.Outcome.CANCELLED if result.cause == FailureCause.CANCELLED else interface.Outcome.RESET
+    if result.cause in (FailureCause.CANCELLED, FailureCause.NO_MEMORY):
+        return interface.Outcome.CANCELLED  # not because of the server, but it may have executed the request
+    return interface.Outcome.RESET
--- a/myrtleroad/net/front.py
+++ b/myrtleroad/net/front.py
@@ -14,6 +14,7 @@
 from myrtleroad.net.discovery import DiscoveryClient
 from myrtleroad.net.dispatcher import Dispatcher
 from myrtleroad.net.log import Log, level_from_environment, open_descriptors
+from myrtleroad.net.memory_monitor import MemoryMonitor, memory_budget
 from myrtleroad.net.node_config import (
     AddressChanged,
     ConfigError,
@@ -31,18 +32,27 @@
 class Front:
     """One front process: its actors and its signal handlers."""
 
-    def __init__(self, node_config: NodeConfig, log_fd: int = 1, front_file: str | None = None):
+    def __init__(
+        self,
+        node_config: NodeConfig,
+        log_fd: int = 1,
+        front_file: str | None = None,
+        owns_process: bool = False,
+    ):
+        self.owns_process = owns_process  # so that the memory of the process is the front's own
         self.node_config, self.clock, self.counters = node_config, Clock(), Counters()
         try:
             level = level_from_environment(os.environ)
         except ValueError as error:
             raise ConfigError(str(error)) from None
         self.log = Log(self.clock, log_fd, level)
-        self.dispatcher = Dispatcher(node_config, self.clock, self.counters, self.log)
+        self.memory = memory_budget(node_config)
+        self.memory_monitor = MemoryMonitor(self.memory, self.clock, self.counters, self.log)
+        self.dispatcher = Dispatcher(node_config, self.clock, self.counters, self.log, self.memory)
         deliver = self.dispatcher.mailbox.put
         post_update = self.dispatcher.post_update
         context = FollowerContext(self.clock, post_update, self.dispatcher.stream_poller)
-        self.discovery = DiscoveryClient(node_config, self.counters, self.log, context)
+        self.discovery = DiscoveryClient(node_config, self.counters, self.log, context, self.memory)
         self.stage_updates = StageUpdates(node_config, self.counters, self.log, context)
         self.dispatcher.list_age = self.discovery.stream_follower.age_ms
         self.dispatcher.balancer.lease = self.discovery.lease
@@ -50,7 +60,7 @@
         self.vote_caster = VoteCaster(node_config, self.counters, self.log, post_update)
         self.dispatcher.cast_vote = self.vote_caster.mailbox.put
         self.client_listener = ClientListener(
-            node_config, self.clock, self.counters, self.log, deliver, self.is_ready
+            node_config, self.clock, self.counters, self.log, deliver, self.is_ready, self.memory
         )
         self.dispatcher.client_count = lambda: len(self.client_listener.connections)
         self.stop_event, self.was_ready = Event(), False
@@ -100,6 +110,11 @@
             gevent.spawn(keep_running, "versions", self.config_versions.run, self.counters, self.log)
         gc.collect()
         gc.freeze()  # long-lived objects need not be traversed at each collection
+        if self.owns_process:
+            self.memory_monitor.start(len(self.dispatcher.servers))
+            gevent.spawn(
+                keep_running, MemoryMonitor.ACTOR_NAME, self.memory_monitor.run, self.counters, self.log
+            )
         self.stop_event.wait()
         self.drain()
 
--- a/myrtleroad/net/http1.py
+++ b/myrtleroad/net/http1.py
@@ -4,6 +4,7 @@
 import math
 import select
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import gevent
@@ -32,6 +33,7 @@
 TRANSIENT_ERRNOS = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
 RETRY_DELAY_S = 0.01  # before a system call that failed with one of them is repeated
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+Buffer = bytes | bytearray | memoryview
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -43,7 +45,7 @@
         self.status = status
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Message:
     """One request as received."""
 
@@ -249,6 +251,7 @@
         """Prepares for the next response."""
         self.response, self.complete, self.in_head = UpstreamResponse(0), False, True
         self.head_bytes, self.body_bytes = 0, 0  # the head's with those of 1xx responses before it
+        self.content_bytes = self.max_body_bytes  # of the whole body, if its head tells
         self.chunks, self.framing = 0, ChunkFraming()
 
     def close(self) -> None:
@@ -261,6 +264,13 @@
         """The memory that the current response takes, in bytes."""
         return HEADER_LINE_BYTES * len(self.response.headers) + sum(map(len, self.response.body))
 
+    @property
+    def expected_bytes(self) -> int:
+        """The memory that the whole response will take at most, in bytes."""
+        if self.in_head:
+            return HEADER_LINE_BYTES * MAX_HEADER_LINES + self.max_body_bytes
+        return HEADER_LINE_BYTES * len(self.response.headers) + self.content_bytes
+
     def feed(self, data: memoryview) -> None:
         """Parses received bytes. Raises HttpError if they are no valid response. Bytes after a complete
         response are ignored and only end the use of its connection."""
@@ -311,8 +321,10 @@
         has_length = length is not None or status in (204, 304)
         if not 200 <= status < 600 or not (has_length if coding is None else coding.lower() == b"chunked"):
             raise HttpError(502)
-        if length is not None and int(length) > self.max_body_bytes:
-            raise HttpError(502)
+        if length is not None:
+            self.content_bytes = int(length)
+            if self.content_bytes > self.max_body_bytes:
+                raise HttpError(502)
 
     def on_body(self, data: bytes) -> None:
         if self.complete:
@@ -372,23 +384,33 @@
         sock.sendall(b"".join(parts)[sent:])
 
 
-def send_nowait(sock: socket.socket, parts: list[bytes]) -> bytes:
-    """Makes one gathered write that never waits; returns the bytes that the system did not take."""
+def send_nowait(sock: socket.socket, parts: Sequence[Buffer]) -> list[memoryview]:
+    """Makes one gathered write that never waits; returns views of what the system did not take."""
     try:
         sent = sock.sendmsg(parts, (), socket.MSG_DONTWAIT)
     except OSError as error:
         if error.errno not in TRANSIENT_ERRNOS:
             raise
         sent = 0
-    return b"".join(parts)[sent:] if sent < sum(map(len, parts)) else b""
+    return skip_bytes(parts, sent)
+
+
+def skip_bytes(parts: Sequence[Buffer], count: int) -> list[memoryview]:
+    """Returns views of all bytes of the parts but the first ``count``."""
+    rest = []
+    for part in parts:
+        if count < len(part):
+            rest.append(memoryview(part)[count:])
+        count = max(0, count - len(part))
+    return rest
 
 
-def send_all(sock: socket.socket, data: bytes, timeout_s: float = math.inf) -> None:
-    """Writes all data, retrying while the system lacks buffers. Raises TimeoutError after ``timeout_s``."""
+def send_all(sock: socket.socket, parts: Sequence[Buffer], timeout_s: float = math.inf) -> None:
+    """Writes all parts, retrying while the system lacks buffers. Raises TimeoutError after ``timeout_s``."""
     deadline = time.monotonic() + timeout_s
-    while data:
+    while parts:
         try:
-            data = data[sock.send(data) :]
+            parts = skip_bytes(parts, sock.send(parts[0]))
         except OSError as error:
             if error.errno not in TRANSIENT_ERRNOS:
                 raise
--- a/myrtleroad/net/json_stream.py
+++ b/myrtleroad/net/json_stream.py
@@ -3,7 +3,6 @@
 import re
 
 STRING_LITERAL = re.compile(rb'"(?:[^"\\]|\\.)*"')
-MAX_OBJECT_BYTES = 1024 * 1024  # of one object, the same as of one line
 TRUNCATED = "truncated object"
 
 
@@ -17,9 +16,10 @@
     """Reads the objects of one stream. Blank lines between objects are heartbeats; a blank line within an
     object, or the beginning of another one, shows that the first was truncated."""
 
-    __slots__ = ("depth", "text", "top_level_key")
+    __slots__ = ("depth", "max_bytes", "text", "top_level_key")
 
-    def __init__(self, top_level_key: bytes):
+    def __init__(self, top_level_key: bytes, max_bytes: int = 1024 * 1024):
+        self.max_bytes = max_bytes  # of one object, the same as of one line
         self.top_level_key = top_level_key  # a key of every whole object and of no object nested in it
         self.text = bytearray()  # of an object that is not complete
         self.depth = 0
@@ -31,10 +31,12 @@
         if not line and not self.text:
             return None
         self.check(line)
+        if not self.text and len(line) <= self.max_bytes and nesting_change(line) <= 0:
+            return line  # a whole object, without a copy
         self.text += line
         self.text += b"\n"
         self.depth += nesting_change(line)
-        if len(self.text) > MAX_OBJECT_BYTES:
+        if len(self.text) > self.max_bytes:
             raise ValueError("object too long")
         if self.depth > 0:
             return None
--- a/myrtleroad/net/response.py
+++ b/myrtleroad/net/response.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from myrtleroad import interface
+from myrtleroad.admission.response_memory import ResponseLease
 from myrtleroad.net.exchange_result import UpstreamResponse
 from myrtleroad.net.http1 import CONTENT_LENGTH, HOP_BY_HOP
 
@@ -24,6 +25,7 @@
     status: int
     header_lines: list[bytes]
     body: list[bytes | bytearray]
+    lease: ResponseLease | None = None  # the memory that is counted for it
 
     def serialize(self, close: bool) -> list[bytes]:
         """Returns the bytes of the response; ``close`` announces that the connection ends with it."""
@@ -43,8 +45,9 @@
         for name, value in upstream.headers
         if name.lower() not in STRIPPED_HEADERS
     ]
-    # The body is one part: the parts of a gathered write are limited (IOV_MAX).
-    return Response("completed", 200, header_lines, [b"".join(upstream.body)])
+    # The body is one part at most: the parts of a gathered write are limited (IOV_MAX).
+    body = upstream.body if len(upstream.body) <= 1 else [b"".join(upstream.body)]
+    return Response("completed", 200, header_lines, body, upstream.lease)
 
 
 def shed(retry_after_ms: float) -> Response:
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 from gevent.queue import SimpleQueue
 
+from myrtleroad.admission.memory_budget import MAX_LIST_BYTES as MAX_LIST_BYTES
 from myrtleroad.membership.call_backoff import FollowerSettings
 from myrtleroad.membership.stream_follower import (
     CloseStream,
@@ -33,7 +34,6 @@
 # loopback and a datacentre's network connect within ms; an address that does not answer must not block for
 # long
 CONNECT_TIMEOUT_S = 1.0
-MAX_LIST_BYTES = 1024 * 1024  # a list of about 4,000 servers
 MAX_REASON_CHARACTERS = 200  # of the peer's text in the reason of an end, as it is logged
 
 
@@ -93,7 +93,7 @@
         self.number, self.address, self.target = number, follower.address, target
         self.post, self.poller, self.sock = follower.post, follower.poller, None
         self.parser = http1.ResponseParser(stream=True)
-        self.clock, self.quota, self.max_line_bytes = follower.clock, follower.quota, follower.MAX_LINE_BYTES
+        self.clock, self.quota, self.max_line_bytes = follower.clock, follower.quota, follower.max_line_bytes
         self.partial_line = bytearray()  # the beginning of a line that is not complete
         self.has_delivered = False  # whether it has delivered a readable message
         self.requested_at = follower.clock()
@@ -212,6 +212,11 @@
         self.streams: dict[int, Stream] = {}  # by stream number; entries are removed as streams end
         self.answered = False  # whether the first stream has delivered a message or failed
 
+    @property
+    def max_line_bytes(self) -> int:
+        """The length of a line at most. Bounds input without line ends."""
+        return self.MAX_LINE_BYTES
+
     def run(self) -> None:
         """Open the first stream, then process messages and deadlines; does not return."""
         self.execute(self.stream_follower.start(self.clock()))
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -2,13 +2,14 @@
 
 import errno
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 from gevent import socket
 from gevent.queue import Empty, SimpleQueue
 
 from myrtleroad import interface
+from myrtleroad.admission.response_memory import FREE_BYTES, ResponseLease, ResponseMemory
 from myrtleroad.net import http1
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.connecting import connect
@@ -41,6 +42,8 @@
 # subtracted from the remaining time sent to the server: network transit and delays before the write
 TRANSIT_MS = 20.0
 IDLE_SWEEP_S = 1.0  # interval between checks of idle connections
+UNLIMITED_BYTES = 1 << 62
+MEMORY_POLL_S = 0.01  # between checks whether there is memory for more of a response
 IDLE_MARGIN_MS = 2000.0  # idle connections are closed this long before the server closes them: two sweeps
 
 
@@ -103,11 +106,12 @@
 
 @dataclass(slots=True)
 class ConnectionBudget:
-    """Descriptors that connections to all servers may use together. Each attempt of an open request needs
-    one; connections above the budget are not kept idle."""
+    """Descriptors and memory that connections to all servers may use together. Each attempt of an open
+    request needs one connection; those above the budget are not kept idle."""
 
     limit: int
     in_use: int = 0
+    responses: ResponseMemory = field(default_factory=lambda: ResponseMemory(UNLIMITED_BYTES))
 
 
 @dataclass(slots=True)
@@ -129,7 +133,7 @@
         budget.in_use += 1
 
     def close(self) -> None:
-        """Close the socket and return its descriptor to the budget."""
+        """Close the socket, drop what is held and return the descriptor to the budget."""
         self.sock.close()
         self.parser.close()
         self.budget.in_use -= 1
@@ -316,7 +320,7 @@
             if not self.preconditions_hold(job):
                 return NOT_SENT
             unsent = http1.send_nowait(sock, parts)
-            if len(unsent) < sum(map(len, parts)):
+            if sum(map(len, unsent)) < sum(map(len, parts)):
                 break
             gevent.sleep(http1.RETRY_DELAY_S)
         sock.settimeout(remaining_ms / 1000)
@@ -330,21 +334,26 @@
             if (not_written := self.write_request(job, sock)) is not None:
                 return not_written
             progress = ExchangeProgress.WRITTEN
-            parser = connection.parser
+            parser, lease = connection.parser, self.budget.responses.lease()
             parser.reset()
             while not parser.complete:
+                has_memory = progress < ExchangeProgress.BEGUN or self.wait_for_memory(lease, connection, job)
                 remaining_ms = job.deadline - self.clock()
                 if remaining_ms <= 0:
-                    return ExchangeFailure(progress, FailureCause.TIMEOUT)
+                    cause = FailureCause.TIMEOUT if has_memory else FailureCause.NO_MEMORY
+                    return ExchangeFailure(progress, cause)
                 sock.settimeout(remaining_ms / 1000)
-                data = http1.receive(sock)
+                data = http1.receive(sock, FREE_BYTES if progress < ExchangeProgress.BEGUN else 0)
                 if not data:
                     return ExchangeFailure(progress, FailureCause.ENDED)
                 progress = ExchangeProgress.BEGUN
                 parser.feed(data)
                 if not parser.complete:
                     current_turn().wait_if_over()
-            return parser.take_response()
+            lease.hold(parser.held_bytes)
+            response = parser.take_response()
+            response.lease = lease
+            return response
         except TimeoutError:
             return ExchangeFailure(progress, FailureCause.TIMEOUT)
         except http1.HttpError:
@@ -354,3 +363,13 @@
             return ExchangeFailure(progress, FailureCause.SHORT if short else FailureCause.ENDED, str(error))
         except gevent.GreenletExit:
             return ExchangeFailure(progress, FailureCause.CANCELLED)
+
+    def wait_for_memory(self, lease: ResponseLease, connection: Connection, job: AttemptJob) -> bool:
+        """Wait until there is memory to read more of a response; False if the attempt's time is over first.
+        What the server sends meanwhile waits in the system's buffers."""
+        while not lease.reserve(connection.parser.expected_bytes):
+            if self.clock() >= job.deadline:
+                self.counters.add("responses_over_memory")
+                return False
+            gevent.sleep(MEMORY_POLL_S)
+        return True
--- a/myrtleroad/serve.py
+++ b/myrtleroad/serve.py
@@ -10,7 +10,7 @@
     from myrtleroad.net import front, node_config
 
     try:
-        program = front.Front(node_config.read_node_config(), front_file=front_file)
+        program = front.Front(node_config.read_node_config(), front_file=front_file, owns_process=True)
     except node_config.ConfigError as error:
         sys.exit(f"myrtleroad: {error}")
     except OSError as error:
