The test of a closed server connection watches its own parser alone

Seen: the test failed once in a run of the whole suite (1 of 1040), passed by itself and with five other files. Cause, by reading: it compared the numbers of all parsers in the process before and after, among them those of fronts that other tests leave running; which of them came or went in that run was not traced. Change: it follows the one parser by a weak reference: as strict for that parser, and no other can change it.

--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -134,15 +134,17 @@
 
 def test_a_server_connection_that_was_closed_is_not_left_to_the_garbage_collector(no_garbage_collection):
     # Guards against the same for responses, with bodies of 64 KiB that are cut off.
-    def parsers():
-        return [found for found in gc.get_objects() if isinstance(found, http1.ResponseParser)]
-
     def cut_off(sock):
         read_request(sock)
         sock.sendall(CHUNKED + LONG_BODY)
 
-    before = len(parsers())
+    def connect(job):
+        connection = connect_to_server(job)
+        parsers.append(weakref.ref(connection.parser))
+        return connection
+
     actor, results = build_server(Peer(cut_off).address)
+    parsers, connect_to_server, actor.connect = [], actor.connect, connect
     assert run_attempt(actor, results).outcome == interface.Outcome.RESET
     gevent.sleep(0.01)
-    assert len(parsers()) == before
+    assert parsers[0]() is None
