Lists from discovery take a bounded part of the memory, also while they are decoded

Seen with hostile stand-ins for discovery (benchmarks/hostile_peers.py) on at 64 MB: ever new servers 112 MB, ever new whole lists of 1,024 servers with long names 146, whole lists of 4,096 servers 147. Causes: the bound on listed servers grew with each change of the list; a list was decoded before its entries were counted, at some 3 kB each; all its strings were cut out at once to find its end; each server that left started a greenlet; an unused server had a queue of 2.4 kB and a deque of 0.6; hundreds of lists waited for the dispatcher. The decisions are the same: the list of cold attempts is read from its front as the deque was.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -1,20 +1,24 @@
 """Measures the memory of one front beside crowds of hostile clients. The front is a real process; the other
 parties are stand-ins on loopback.
 
-    python -m benchmarks.memory                       # all crowds at 32, 64 and 192 MB, a table in Markdown
+    python -m benchmarks.memory         # each crowd and hostile peer at 32, 64 and 192 MB: a Markdown table
     python -m benchmarks.memory --limit 32 --crowd whole --seconds 20
 
 The kernel counts: VmHWM (with pages of shared libraries) and RssAnon, the latter sampled."""
 
 import resource
+import signal
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import click
 import gevent
 
 from benchmarks.crowds import CROWDS, Crowd
+from benchmarks.hostile_peers import LIST_FLOODS, STAGE_FLOODS, HostilePeer
 from soak.checker import Violation
 from soak.deployment import Deployment
 from soak.run import SoakRun
@@ -74,6 +78,29 @@
     return used
 
 
+def measure_peer(flood: str, memory_mb: int, seconds: float) -> MemoryUse:
+    """Runs one front whose discovery or platform moves to a hostile stand-in, by SIGHUP; returns what it
+    used."""
+    deployment = Deployment(fronts=1, servers=SERVERS, max_sockets=MAX_SOCKETS, memory_mb=memory_mb)
+    with SoakRun(deployment, rate_per_s=USUAL_REQUESTS_PER_S) as run:
+        front = run.fronts[0]
+        used = MemoryUse(status_mb(front.process.pid, "VmHWM"))
+        peer = HostilePeer(front.address[0], LIST_FLOODS.get(flood) or STAGE_FLOODS[flood])
+        configuration = run.node_config(front)
+        if flood in LIST_FLOODS:
+            configuration.discovery_address = peer.address
+        else:
+            configuration.platform_address = peer.address
+        front.write_config(configuration)
+        front.signal(signal.SIGHUP)
+        sample(used, front.process.pid, seconds)
+        used.exited = not front.is_running
+        used.violations = run.finish()
+        peer.close()
+        record_requests(used, run)
+    return used
+
+
 def sample(used: MemoryUse, pid: int, seconds: float) -> None:
     """Samples the memory of a process for some seconds."""
     for _ in range(int(seconds / SAMPLE_INTERVAL_S)):
@@ -113,18 +140,22 @@
 def main(
     limits_mb: tuple[int, ...], names: tuple[str, ...], seconds: float, servers: int, restart_after: float
 ) -> None:
-    """Measure one front beside each crowd at each memory limit."""
+    """Measure one front beside each crowd and hostile peer at each memory limit."""
     hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
     click.echo(
         "| crowd | limit MB | idle | peak | RssAnon | half, end | usual clients | p99 ms | violations |"
     )
     click.echo("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-    for name, crowd in CROWDS.items():
-        if names and not any(wanted in name for wanted in names):
-            continue
-        for limit_mb in limits_mb or LIMITS_MB:
-            click.echo(table_row(name, limit_mb, measure(crowd, limit_mb, seconds, servers, restart_after)))
+    runs: dict[str, Callable[[int], MemoryUse]] = {
+        name: partial(measure, crowd, seconds=seconds, servers=servers, restart_after_s=restart_after)
+        for name, crowd in CROWDS.items()
+    }
+    runs |= {name: partial(measure_peer, name, seconds=seconds) for name in (*LIST_FLOODS, *STAGE_FLOODS)}
+    for name, run in runs.items():
+        if not names or any(wanted in name for wanted in names):
+            for limit_mb in limits_mb or LIMITS_MB:
+                click.echo(table_row(name, limit_mb, run(limit_mb)))
 
 
 if __name__ == "__main__":
--- a/myrtleroad/admission/memory_budget.py
+++ b/myrtleroad/admission/memory_budget.py
@@ -16,11 +16,11 @@
 MIN_POOL_BYTES = 1 * MIB  # to go on with where the limit leaves less
 CONNECTION_BYTES = 10 * KIB  # of a client connection with its greenlet and a short request
 ATTEMPT_BYTES = 20 * KIB  # of an attempt with its greenlet, connection and a short response
-SERVER_BYTES = 5 * KIB  # of a listed server
+SERVER_BYTES = 3 * KIB  # of a listed server
 LISTED_BYTES_FACTOR = 8  # memory in which a list is decoded, over the length of its text
 MIN_SERVERS = 1024  # that a front holds whatever its limit
 MAX_SERVERS = 4096  # more than a list of the largest size names
-MIN_LIST_BYTES, MAX_LIST_BYTES = 384 * KIB, 1024 * KIB  # text of one list: of 1,024 and of 4,096 servers
+MIN_LIST_BYTES, MAX_LIST_BYTES = 700 * KIB, 1024 * KIB  # of one list: 1,024 servers with the longest names
 CONNECTIONS_SHARE, ATTEMPTS_SHARE = 0.4, 0.25  # of the pool, at most
 REQUESTS_SHARE, RESPONSES_SHARE, LISTS_SHARE = 0.4, 0.4, 0.2  # of what those two leave
 PRESSURE_MARGIN_SHARE = 1 / 32  # of the limit: with less left, the pool is reduced
@@ -51,13 +51,23 @@
         self.requests, self.responses = RequestMemory(0), ResponseMemory(0)
         self.divide()
 
+    @property
+    def left_bytes(self) -> int:
+        """What the limit leaves beside the program and the reserve; negative if it is too low."""
+        reserve_bytes = RESERVE_BYTES + int(RESERVE_SHARE * self.limit_bytes)
+        return self.limit_bytes - self.program_bytes - reserve_bytes
+
     @property
     def pool_bytes(self) -> int:
         """What all peers together can make the front hold, beside the servers listed."""
-        reserve_bytes = RESERVE_BYTES + int(RESERVE_SHARE * self.limit_bytes)
-        new_servers_bytes = SERVER_BYTES * max(0, self.servers - self.program_servers)
-        left_bytes = self.limit_bytes - self.program_bytes - reserve_bytes - new_servers_bytes
-        return max(MIN_POOL_BYTES, left_bytes)
+        new_servers = max(0, self.servers - self.program_servers)
+        return max(MIN_POOL_BYTES, self.left_bytes - SERVER_BYTES * new_servers)
+
+    @property
+    def max_servers(self) -> int:
+        """How many servers may be listed: as many as take half of what is left."""
+        more_servers = max(0, self.left_bytes) // 2 // SERVER_BYTES
+        return min(MAX_SERVERS, max(MIN_SERVERS, self.program_servers + more_servers))
 
     @property
     def is_short(self) -> bool:
@@ -99,13 +109,12 @@
         attempts = min(self.max_attempts, int(ATTEMPTS_SHARE * pool_bytes) // ATTEMPT_BYTES)
         rest_bytes = pool_bytes - connections * CONNECTION_BYTES - attempts * ATTEMPT_BYTES
         list_bytes = int(LISTS_SHARE * rest_bytes) // LISTED_BYTES_FACTOR
-        more_servers = pool_bytes // 2 // SERVER_BYTES
         self.limits = MemoryLimits(
             max(1, connections),
             max(1, attempts),
             int(REQUESTS_SHARE * rest_bytes),
             int(RESPONSES_SHARE * rest_bytes),
-            min(MAX_SERVERS, max(MIN_SERVERS, self.servers + more_servers)),
+            self.max_servers,
             min(MAX_LIST_BYTES, max(MIN_LIST_BYTES, list_bytes)),
         )
         self.requests.limit_bytes = self.limits.request_bytes
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -16,7 +16,7 @@
 from myrtleroad.net import http1
 from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
-from myrtleroad.net.json_stream import JsonObjectReader
+from myrtleroad.net.json_stream import JsonObjectReader, check_size
 from myrtleroad.net.log import Log
 from myrtleroad.net.loop_turn import current_turn
 from myrtleroad.net.memory_monitor import memory_budget
@@ -34,6 +34,8 @@
 HEARTBEAT_MS = 2000.0  # interval of empty lines while nothing changes (protocol)
 # for a separate request of the whole list: a service that queues its callers takes as long
 FETCH_TIMEOUT_S = 2.5
+# In the text of a list, at most: an entry has ten values, and may have more that the front does not know.
+OBJECTS_PER_SERVER, VALUES_PER_SERVER = 2, 32
 LIST_KEY = b'"generation"'  # a key of every list and of no server entry
 RESTRICTIONS = {
     interface.ServerStatus.IN_SERVICE: Restriction.NONE,
@@ -123,6 +125,8 @@
     def decode_list(self, text: bytes, source: int) -> ListMessage[ListedServer]:
         """Decode a list in discovery's format. Raises one of ``DECODE_ERRORS`` if nothing in it can be
         decoded."""
+        max_servers = self.memory.limits.servers
+        check_size(text, OBJECTS_PER_SERVER * max_servers, VALUES_PER_SERVER * max_servers)
         data = json_object(text)
         servers, invalid_ids = listed_servers(data["instances"], *self.name_numbers)
         return ListMessage(
--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -40,6 +40,8 @@
 
 # requests in progress on one server: a load report above it, or not a number, is ignored
 MAX_REPORTED_LOAD = 1e6
+MAX_QUEUED_UPDATES = 8  # lists and stage updates that wait; hundreds may come in one read
+MAX_UNREAD_LISTINGS = 8  # changes of the list that an actor without a greenlet leaves in its mailbox
 IN_SERVICE = interface.ServerStatus.IN_SERVICE
 WAKE_MAILBOX = None  # mailbox entry without content: something waits in the priority queue
 DEADLINE_SLACK_MS = 50.0  # tolerance of the protocol on every time limit measured on sockets
@@ -218,6 +220,8 @@
     def post_update(self, message: object) -> None:
         """Queue a list or a stage update ahead of requests: in the priority queue, not behind the mailbox."""
         self.priority_queue.append(message)
+        if len(self.priority_queue) > MAX_QUEUED_UPDATES:
+            self.process_updates()
         self.mailbox.put(WAKE_MAILBOX)
 
     def apply_updates(self) -> None:
@@ -227,6 +231,10 @@
         greenlets.
         """
         self.contained("look", self.stream_poller.read_ready)
+        self.process_updates()
+
+    def process_updates(self) -> None:
+        """Pass the queued updates to the module. Never switches greenlets."""
         while self.priority_queue:
             self.process(self.priority_queue.popleft(), self.clock())
 
@@ -430,9 +438,20 @@
             return
         self.post_to_server(self.servers[action.server], StartAttempt(job))
 
+    def post_listing(self, server: UpstreamServer, message: ServerAddressChanged | ServerRemoved) -> None:
+        """Send a change of the list to a server's actor. Without a greenlet it has no connection that the
+        change concerns, and reads it before its next attempt."""
+        server.mailbox.put(message)
+        if server.mailbox.qsize() > MAX_UNREAD_LISTINGS:
+            self.start_server(server)
+
     def post_to_server(self, server: UpstreamServer, message: object) -> None:
         """Send a message to a server's actor, and start that if it has no greenlet."""
         server.mailbox.put(message)
+        self.start_server(server)
+
+    def start_server(self, server: UpstreamServer) -> None:
+        """Start the greenlet of a server's actor, if it has none."""
         if not server.is_active:
             server.is_active = True
             gevent.spawn(keep_running, "machine", server.run_while_busy, self.counters, self.log)
@@ -542,7 +561,7 @@
                 )
                 self.servers[number] = UpstreamServer(server.address, *server_args)
             elif self.server_places[number] != place:
-                self.post_to_server(self.servers[number], ServerAddressChanged(server.address))
+                self.post_listing(self.servers[number], ServerAddressChanged(server.address))
             self.server_places[number] = place
         server_ids, zones = self.out_of_service
         entries = [
@@ -558,7 +577,7 @@
             self.balancer.update_server_list(interface.ServerListUpdate(listing.kind, entries), now), now
         )
         for number in [number for number in self.servers if number not in self.balancer.servers]:
-            self.post_to_server(self.servers.pop(number), ServerRemoved())
+            self.post_listing(self.servers.pop(number), ServerRemoved())
             del self.server_places[number]
             del self.server_numbers[self.server_ids.pop(number)]
         self.memory.set_servers(len(self.servers))
--- a/myrtleroad/net/json_stream.py
+++ b/myrtleroad/net/json_stream.py
@@ -2,12 +2,34 @@
 
 import re
 
-STRING_LITERAL = re.compile(rb'"(?:[^"\\]|\\.)*"')
+STRING_LITERAL = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
+PIECE_BYTES, PIECE_END = 16 * 1024, b"},"  # a piece ends with an entry of a list
 TRUNCATED = "truncated object"
 
 
+def check_size(text: bytes, max_objects: int, max_values: int) -> None:
+    """Raise ValueError if decoding a text would make more objects or values than this. Decoded, a short value
+    takes many times the bytes of its text."""
+    if text.count(b"{") > max_objects or text.count(b",") > max_values:
+        raise ValueError("too many values")
+
+
 def nesting_change(line: bytes) -> int:
-    """By how much a line increases the nesting of objects and lists."""
+    """By how much a line increases the nesting of objects and lists. Takes it in pieces, as all strings of a
+    long one together take many times its bytes."""
+    change, start = 0, 0
+    while start < len(line):
+        end = line.find(PIECE_END, start + PIECE_BYTES) + 1 or len(line)
+        bare = STRING_LITERAL.sub(b"", line[start:end])
+        if b'"' in bare and end < len(line):  # the piece ends within a string
+            return nesting_change_of_whole(line)
+        change += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        start = end
+    return change
+
+
+def nesting_change_of_whole(line: bytes) -> int:
+    """``nesting_change`` of a line in one piece."""
     bare = STRING_LITERAL.sub(b"", line)
     return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
 
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -173,8 +173,10 @@
             if len(self.partial_line) > self.max_line_bytes:
                 raise http1.HttpError(502)
             return
-        *lines, rest = bytes(self.partial_line).split(b"\n")
-        self.partial_line = bytearray(rest)
+        text, self.partial_line = bytes(self.partial_line), bytearray()
+        *lines, rest = text.split(b"\n")
+        del text  # a long line is not kept twice
+        self.partial_line += rest
         previous_lines = [b"-", *lines]  # an empty first line is passed on
         kept = [line for line, previous in zip(lines, previous_lines, strict=False) if line or previous]
         self.post(LinesReceived(self, kept))
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -3,6 +3,7 @@
 import errno
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 import gevent
 from gevent import socket
@@ -157,13 +158,17 @@
         self.connect_timeout_ms, self.idle_timeout_ms = node_config.connect_ms, node_config.idle_ms
         self.deliver, self.preconditions_hold = deliver, preconditions_hold
         self.generation = 0  # number of address and start changes in the list so far
-        self.mailbox: SimpleQueue = SimpleQueue()
         # last used last; closed by age and when the server is removed
         self.idle_connections: list[Connection] = []
         self.running: dict[tuple[int, int], gevent.Greenlet] = {}  # entries are removed as attempts end
         self.removed = False
         self.is_active = False  # whether a greenlet processes the mailbox
 
+    @cached_property
+    def mailbox(self) -> SimpleQueue:
+        """Messages to the actor. A server that is listed and not used needs no queue."""
+        return SimpleQueue()
+
     @property
     def is_busy(self) -> bool:
         """Whether there is an attempt, a connection or a message."""
@@ -180,6 +185,7 @@
         while self.is_busy:
             self.process_next()
         self.is_active = False
+        self.__dict__.pop("mailbox", None)
 
     def process_next(self) -> None:
         """Process the next message, or close stale idle connections if none comes for a while."""
--- a/myrtleroad/policy/balancer.py
+++ b/myrtleroad/policy/balancer.py
@@ -333,7 +333,7 @@
         """Drop attempts that have left the window, and draw anew when the last draw has expired."""
         window_ms = self.settings.server_rules.overload_window_ms
         while server.cold_attempts and server.cold_attempts[0][0] <= now - window_ms:
-            server.cold_attempts.popleft()
+            server.cold_attempts.pop(0)
         if now >= server.draw_expires_at:
             # No attempts in the first window, as all fronts learn of a start at the same time; it ends at a
             # random moment. Drawn only once where the platform counts attempts: more of them on cold trial
--- a/myrtleroad/policy/state.py
+++ b/myrtleroad/policy/state.py
@@ -1,6 +1,5 @@
 """What the balancer knows of each server and of the attempts in flight."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from myrtleroad import interface
@@ -39,7 +38,8 @@
     served_at: float = -1e9  # the same, over a connection that the lease on the server list covers
     decayed_at: float = 0.0  # when the estimates that need new samples were last decayed
     # Send times and costs of attempts while the server is cold; dropped by age in ``refresh_cold_window``.
-    cold_attempts: deque[tuple[float, float]] = field(default_factory=deque)
+    # A list, as an empty deque takes more memory than all the rest.
+    cold_attempts: list[tuple[float, float]] = field(default_factory=list)
 
 
 # Ended attempts of a request, each with whether it may have been executed.
--- a/soak/run.py
+++ b/soak/run.py
@@ -86,16 +86,18 @@
 
     def write_front_config(self, front: Front) -> None:
         """Writes a node configuration with new peer addresses and the current server list and stage."""
-        front.write_config(
-            NodeConfig(
-                front.name,
-                front.listen_address,
-                self.discovery.new_address(front.name),
-                self.platform.new_address(front.name),
-                f"{self.random.getrandbits(64):016x}",
-                self.discovery.list_document(None),
-                self.platform.stage_fields(),
-            )
+        front.write_config(self.node_config(front))
+
+    def node_config(self, front: Front) -> NodeConfig:
+        """Returns a node configuration with new peer addresses and the current server list and stage."""
+        return NodeConfig(
+            front.name,
+            front.listen_address,
+            self.discovery.new_address(front.name),
+            self.platform.new_address(front.name),
+            f"{self.random.getrandbits(64):016x}",
+            self.discovery.list_document(None),
+            self.platform.stage_fields(),
         )
 
     def restart_front(self, front: Front) -> None:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -26,6 +26,7 @@
 def test_all_parts_together_are_what_the_limit_leaves(limit_mb, sockets_half, servers):
     budget = MemoryBudget(limit_mb * MIB, sockets_half, sockets_half)
     budget.set_program(22 * MIB, 8)
+    max_servers = budget.limits.servers
     budget.set_servers(servers)
     limits = budget.limits
     total = (
@@ -38,7 +39,8 @@
     )
     assert total <= limit_mb * MIB or budget.is_short
     assert budget.is_short == (limit_mb == 32 and servers > 1024)
-    assert limits.servers >= 1024 and min(limits.connections, limits.attempts) >= 1
+    assert min(limits.connections, limits.attempts) >= 1
+    assert limits.servers == max_servers >= 1024  # not more with each change of the list
 
 
 def test_memory_near_the_limit_reduces_the_pool_and_gives_it_back():
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,7 +3,7 @@
 import pytest
 
 from benchmarks.crowds import CROWDS
-from benchmarks.memory import measure
+from benchmarks.memory import measure, measure_peer
 
 CROWD_S = 5.0
 
@@ -41,3 +41,19 @@
     # Guards against the picture of all three reports: the process died within 6 s of its restart.
     crowd = CROWDS["slow writers of bodies"]
     stays_within_limit(measure(crowd, 32, CROWD_S, restart_after_s=2.0), 32)
+
+
+# Guards against lists and stage updates that no limit counts as a whole: 112 to 147 MB at a limit of 64.
+@pytest.mark.parametrize(
+    "flood",
+    [
+        "ever new servers",
+        "ever new whole lists of 1,024 servers with long names",
+        "whole lists of 4,096 servers",
+        "stage updates without end",
+    ],
+)
+def test_hostile_discovery_and_platform_do_not_take_a_front_over_its_memory_limit(flood):
+    used = measure_peer(flood, 32, CROWD_S)
+    assert not used.exited and not used.violations
+    assert used.peak_mb <= 32
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -4,13 +4,15 @@
 import orjson
 import pytest
 from conftest import Peer, build_node_config, discovery_entry, null_log
+from hypothesis import given
+from hypothesis import strategies as st
 from test_front import SERVER_ADDRESS, build_dispatcher
 from test_peers import CHUNKED, build_discovery_client, start_following
 from test_request_memory import LONG_BODY, fed, memory_of
 from test_upstream_server import OK, answer_with, build_server, run_attempt
 
 from myrtleroad.config.frames import encode_frame
-from myrtleroad.net import discovery, http1, json_stream, node_config
+from myrtleroad.net import discovery, dispatcher, http1, json_stream, node_config
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.config_versions import ConfigVersions
 from myrtleroad.net.counters import Counters
@@ -68,6 +70,35 @@
     assert not servers and invalid == [long_name, "s-1"]
 
 
+def test_a_list_of_more_values_than_its_servers_can_have_is_not_decoded():
+    # Guards against short values, which take twenty times their bytes once they are decoded.
+    client, _ = build_discovery_client()
+    client.memory.limits.servers = 1024
+    for values in (b"{}," * 200_000, b"[]," * 200_000):
+        with pytest.raises(ValueError, match="too many values"):
+            client.decode_list(b'{"generation":9,"reset":true,"instances":[' + values + b"{}]}", 0)
+
+
+@given(st.binary(max_size=60).map(lambda text: bytes(b'"\\{}[],'[byte % 7] for byte in text)))
+def test_nesting_of_a_line_in_pieces_is_that_of_the_whole(line):
+    # Guards against the pieces, which keep the strings of a long list from being held at once.
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(json_stream, "PIECE_BYTES", 4)
+        assert json_stream.nesting_change(line) == json_stream.nesting_change_of_whole(line)
+
+
+def test_servers_that_leave_the_list_start_no_greenlets_and_updates_do_not_pile_up():
+    # Guards against lists with ever new servers: 10 kB for each that left, and hundreds of lists that wait.
+    actor = build_dispatcher(discovery_entry("s-0", SERVER_ADDRESS))
+    for number in range(1, 50):
+        before = list(actor.servers.values())
+        entries = [discovery_entry(f"s-{number}", SERVER_ADDRESS)]
+        data = {"generation": 8 + number, "reset": True, "instances": entries}
+        actor.post_update(node_config.server_listing(data, {"here": 0}, {"small": 0}))
+        assert len(actor.priority_queue) <= dispatcher.MAX_QUEUED_UPDATES
+        assert not any(server.is_active for server in before)
+
+
 def test_servers_that_left_the_list_are_forgotten():
     # Guards against a number kept for each server ID that was ever listed.
     actor = build_dispatcher(discovery_entry("s-0", SERVER_ADDRESS))
