An unsafe request that may have run does not run again under its id

Cause: an id was refused only while its request was open or an attempt was out. An attempt that cannot have run leaves its id free. The protocol asks for a new id with every request, a retry included, so that usual clients see no change. Test: test_an_unsafe_request_that_may_have_run_does_not_run_again_under_its_id (COMPLETED, RESET and TIMEOUT run again without the check) and the bound of the table.

--- a/myrtleroad/net/dispatcher.py
+++ b/myrtleroad/net/dispatcher.py
@@ -11,6 +11,7 @@
 
 from myrtleroad import interface
 from myrtleroad.admission.admission_control import AdmissionControl, AdmissionDecision
+from myrtleroad.admission.executed_ids import ExecutedIds
 from myrtleroad.admission.memory_budget import MemoryBudget
 from myrtleroad.admission.request_accounting import unaccounted_requests
 from myrtleroad.net import response
@@ -123,6 +124,7 @@
         self.open_requests: dict[int, OpenRequest] = {}  # entries are removed as requests end
         # IDs of open requests and running attempts; entries are removed as they end
         self.ids_in_use: Counter[bytes] = Counter()
+        self.executed_ids = ExecutedIds()
         # removed as each timer expires
         self.timers: list[tuple[float, int, RequestCoroutine | None, int]] = []
         self.timer_count = 0
@@ -331,8 +333,8 @@
             self.counters.add("reqs_over_memory")
             message.respond(response.overloaded(self.node_config.facts))
             return
-        if transaction in self.ids_in_use:
-            # Guards against a second copy: this ID belongs to another request, whose attempts may still run.
+        if transaction in self.ids_in_use or self.executed_ids.contains(transaction, now):
+            # Guards against a second copy: this ID belongs to another request, which may run or have run.
             message.respond(response.rejected(409))
             return
         self.ids_in_use[transaction] = 1
@@ -348,6 +350,8 @@
         job = message.job
         self.running_attempts -= 1
         self.release_id(job.message)
+        if not job.may_run_twice and message.outcome not in interface.NOT_EXECUTED:
+            self.executed_ids.add(job.message.header(b"x-txn"), now)
         self.memory.requests.release(job.message)
         open_request = self.open_requests.get(job.request_id)
         completed = message.outcome == interface.Outcome.COMPLETED
@@ -417,6 +421,7 @@
         deadline = min(now + action.timeout_ms, open_request.received.request.deadline)
         preconditions = (entry.build, entry.started_at, self.exposure_cap(entry.build))
         attempt_number, message = len(open_request.attempt_servers), open_request.received.message
+        route = self.node_config.facts.routes[open_request.received.request.route]
         job = AttemptJob(
             open_request.coroutine.request_id,
             attempt_number,
@@ -425,6 +430,7 @@
             now,
             deadline,
             preconditions,
+            route.retry_safety != interface.RetrySafety.NON_RETRIABLE,
         )
         open_request.attempt_servers.append(action.server)
         self.ids_in_use[message.header(b"x-txn")] += 1
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -65,6 +65,7 @@
     decided_at: float  # when the module decided
     deadline: float  # when the attempt times out
     preconditions: tuple[float, ...]  # build, start and cap that the decision was based on
+    may_run_twice: bool = True
 
 
 @dataclass(slots=True)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,6 +12,8 @@
 from gevent.queue import SimpleQueue
 
 from myrtleroad import interface
+from myrtleroad.admission import executed_ids
+from myrtleroad.admission.executed_ids import ExecutedIds
 from myrtleroad.admission.request_accounting import unaccounted_requests
 from myrtleroad.net import actor, dispatcher, front, node_config, response, upstream_server
 from myrtleroad.net.clock import Clock
@@ -391,3 +393,42 @@
     while server_actor.is_active:
         gevent.sleep(0.001)
     assert not server_actor.is_busy
+
+
+@pytest.mark.parametrize(
+    ("outcome", "runs_again"),
+    [
+        (interface.Outcome.COMPLETED, False),
+        (interface.Outcome.RESET, False),
+        (interface.Outcome.TIMEOUT, False),
+        (interface.Outcome.NOT_CONNECTED, True),
+        (interface.Outcome.FULL, True),
+        (interface.Outcome.MOOT, True),
+    ],
+)
+def test_an_unsafe_request_that_may_have_run_does_not_run_again_under_its_id(outcome, runs_again):
+    # Guards against an id that came again after its client had left: it ran twice, 73 times in 100.
+    dispatcher_actor = build_dispatcher(discovery_entry("s-1", SERVER_ADDRESS))
+    submit_request(dispatcher_actor, 1, route=1, transaction=b"same")
+    (job,) = started_jobs(dispatcher_actor)
+    dispatcher_actor.process(dispatcher.ClientGone(1), dispatcher_actor.clock())
+    while_it_runs = submit_request(dispatcher_actor, 2, route=1, transaction=b"same")
+    assert while_it_runs[0].status == 409
+    end_attempt(dispatcher_actor, job, ExchangeFailure(ExchangeProgress.WRITTEN, FailureCause.ENDED), outcome)
+    answers = submit_request(dispatcher_actor, 3, route=1, transaction=b"same")
+    if runs_again:
+        assert not answers or answers[0].status == 503
+    else:
+        assert answers[0].status == 409 and not started_jobs(dispatcher_actor)
+
+
+def test_remembered_ids_are_bounded_and_forgotten_after_a_while():
+    # Guards against a table that grows with the requests seen.
+    ids = ExecutedIds()
+    for number in range(3 * executed_ids.MAX_IDS):
+        ids.add(b"%d" % number, float(number))
+    assert len(ids.expiry_times) == executed_ids.MAX_IDS and not ids.contains(b"0", 1.0)
+    last, now = b"%d" % number, number + executed_ids.RETENTION_MS
+    assert ids.contains(last, now - 1) and not ids.contains(last, now)
+    ids.add(b"new", now + 1)
+    assert list(ids.expiry_times) == [b"new"]
