--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -2,10 +2,12 @@
 floods that keep it busy. Each client connects again when the front closes its connection, until it is
 killed."""
 
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
 
+import click
 import gevent
 from gevent import socket
 
@@ -190,3 +192,21 @@
     "flood of new ids with endless deadlines": Crowd(8, flood_of_new_ids),
     "flood of unsound heads": Crowd(8, flood_of_unsound_heads),
 }
+
+
+@click.command()
+@click.argument("host")
+@click.argument("port", type=int)
+@click.argument("name", type=click.Choice(list(CROWDS)))
+@click.argument("seconds", type=float)
+def main(host: str, port: int, name: str, seconds: float) -> None:
+    """Run one crowd against a front on loopback for some seconds."""
+    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
+    clients = CROWDS[name].spawn((host, port))
+    gevent.sleep(seconds)
+    gevent.killall(clients)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 import orjson
 
 from soak.checker import Violation
+from soak.crowd import CrowdBesideRun
 from soak.deployment import Deployment
 from soak.faults import FAULTS, Fault
 from soak.records import Records
@@ -30,6 +31,7 @@
     violations: list[Violation]
     served_share: float
     request_count: int
+    crowd: str = ""
 
 
 def draw_scenario(
@@ -52,23 +54,35 @@
     return deployment, selected or random.sample(FAULTS, random.choice((1, 2, 2, 3))), random
 
 
-def run_seed(seed: int, fronts: int | None, fault_names: tuple[str, ...], keep: Path | None) -> SeedResult:
+def run_seed(
+    seed: int, fronts: int | None, fault_names: tuple[str, ...], keep: Path | None, with_crowd: bool = False
+) -> SeedResult:
     """Runs one seed and writes its records below ``keep`` if it failed."""
     deployment, faults, random = draw_scenario(seed, fronts, fault_names)
+    crowd = CrowdBesideRun(seed) if with_crowd else None
+    if crowd is not None:
+        deployment = crowd.adapt(deployment)
     call_duration_s = 4.0 / deployment.fronts
     with SoakRun(deployment, seed, random.uniform(2.0, 10.0), min(call_duration_s, 0.2), shim=True) as run:
         for fault in faults:
             fault.plan(run, random, random.uniform(1.0, 6.0))
         if random.random() < 0.7:
             run.schedule_fault(random.uniform(1.0, 5.0), run.drain_servers, sorted(run.servers)[0])
+        if crowd is not None:
+            crowd.start(run)
         run.run_until(RUN_DURATION_S)
-        violations = run.finish()
+        violations = run.finish() + (crowd.violations() if crowd is not None else [])
         if violations and keep is not None:
             write_records(run, keep / f"seed-{seed}", faults, violations)
         outcomes = Counter(request.outcome for request in run.records.requests)
         served_share = outcomes["served"] / max(1, len(run.records.requests))
         return SeedResult(
-            seed, [fault.name for fault in faults], violations, served_share, len(run.records.requests)
+            seed,
+            [fault.name for fault in faults],
+            violations,
+            served_share,
+            len(run.records.requests),
+            crowd.describe() if crowd is not None else "",
         )
 
 
@@ -104,6 +118,7 @@
     """Returns the line that is printed for a seed."""
     totals = f"{result.request_count} requests, {result.served_share:.3f} served"
     summary = f"seed {result.seed}: {', '.join(result.faults)}; {totals}"
+    summary += f"; {result.crowd}" if result.crowd else ""
     if not result.violations:
         return f"{summary}; kept"
     first_violation = result.violations[0]
@@ -117,8 +132,11 @@
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--fronts", type=int, help="Number of fronts; drawn from the seed by default.")
 @click.option("--fault", "only", multiple=True, help="Inject only this fault; may be repeated.")
+@click.option(
+    "--crowds", is_flag=True, help="A crowd of hostile clients beside each seed, under a memory limit."
+)
 @click.option("--keep", type=click.Path(path_type=Path), default=Path("found/soak"), show_default=True)
-def main(seeds: int, first: int, fronts: int | None, only: tuple[str, ...], keep: Path) -> None:
+def main(seeds: int, first: int, fronts: int | None, only: tuple[str, ...], crowds: bool, keep: Path) -> None:
     """Run real fronts under faults drawn from seeds. Exits with 1 if a rule was violated in any run."""
     unknown = set(only) - {fault.name for fault in FAULTS}
     if unknown:
@@ -128,12 +146,13 @@
         if sys.stderr.isatty():
             click.echo(f"seed {seed}, {seed - first + 1} of {seeds}", err=True)
         try:
-            results.append(run_seed(seed, fronts, only, keep))
+            results.append(run_seed(seed, fronts, only, keep, crowds))
         except ShimBuildError as error:
             raise click.ClickException(str(error)) from None
         click.echo(format_result(results[-1]))
         if results[-1].violations:
             names = "".join(f" --fault {name}" for name in only)
+            names += " --crowds" if crowds else ""
             click.echo(f"  again: python -m soak --first {seed} --seeds 1{names}")
     click.echo(format_table(results))
     if any(result.violations for result in results):
