--- a/myrtleroad/net/json_stream.py
+++ b/myrtleroad/net/json_stream.py
@@ -3,6 +3,7 @@
 import re
 
 STRING_LITERAL = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
+BRACKET = re.compile(rb"[\[\]{}]")
 PIECE_BYTES, PIECE_END = 16 * 1024, b"},"  # a piece ends with an entry of a list
 TRUNCATED = "truncated object"
 
@@ -18,6 +19,8 @@
     """By how much a line increases the nesting of objects and lists. Takes it in pieces, as all strings of a
     long one together take many times its bytes."""
     change, start = 0, 0
+    if not BRACKET.search(line):
+        return 0
     while start < len(line):
         end = line.find(PIECE_END, start + PIECE_BYTES) + 1 or len(line)
         bare = STRING_LITERAL.sub(b"", line[start:end])
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -255,9 +255,10 @@
                     self.address = address
                     self.execute(self.stream_follower.address_changed(now))
             case LinesReceived(stream, lines):
+                if self.streams.get(stream.number) is stream:
+                    self.execute(self.stream_follower.bytes_received(stream.number, now))
                 for line in lines:
                     if self.streams.get(stream.number) is stream:
-                        self.execute(self.stream_follower.bytes_received(stream.number, now))
                         self.read_line(stream, line)
             case StreamEnded(stream, reason, connected):
                 if self.streams.pop(stream.number, None) is stream:
