Reads and writes of sockets stand apart from HTTP messages

Change: net/socket_io.py has the shared receive buffer, reads, writes and the checks whether a peer has left; nothing else changes.

--- a/myrtleroad/net/client_connection.py
+++ b/myrtleroad/net/client_connection.py
@@ -11,7 +11,7 @@
 
 from myrtleroad.admission.request_memory import counted_bytes
 from myrtleroad.admission.response_memory import ResponseLease
-from myrtleroad.net import http1, response
+from myrtleroad.net import http1, response, socket_io
 from myrtleroad.net.actor import report_fault
 from myrtleroad.net.dispatcher import ClientGone, RequestReceived
 from myrtleroad.net.loop_turn import TurnQuota, current_turn
@@ -164,7 +164,7 @@
                     self.pipelined_since = self.listener.clock()
                 if not self.wait_for_response():
                     return
-            elif rest and http1.has_left(self.sock):
+            elif rest and socket_io.has_left(self.sock):
                 return  # what it sent ahead is not begun for a client that has gone
             else:
                 rest = self.parse(data)
@@ -181,7 +181,7 @@
     def receive(self) -> memoryview:
         """Waits for bytes. The first read of a request is a short one: hundreds of clients may send long ones
         at the same moment, and only the later reads take turns."""
-        return http1.receive(self.sock, 0 if self.parser.started or self.closing else FIRST_READ_BYTES)
+        return socket_io.receive(self.sock, 0 if self.parser.started or self.closing else FIRST_READ_BYTES)
 
     def parse(self, data: memoryview | bytes) -> bytes:
         """Parses at most one request from the data; returns the bytes after it."""
@@ -203,7 +203,7 @@
             self.handle_request(parser.take_message(), read_delay_ms)
         elif parser.expects_continue:
             parser.expects_continue = False
-            http1.send(self.sock, [http1.CONTINUE])
+            socket_io.send(self.sock, [http1.CONTINUE])
         if not rest:
             self.pipelined_since = None
         return rest
@@ -229,7 +229,7 @@
     def wait_for_response(self) -> bool:
         """Waits until the due response has been written; returns False if the client disconnects first."""
         while not self.ready_for_request.wait(DISCONNECT_POLL_S):
-            if http1.has_left(self.sock):
+            if socket_io.has_left(self.sock):
                 return False
         return True
 
@@ -295,7 +295,7 @@
         self.write_started_at = self.listener.clock()
         self.response_lease = final_response.lease
         parts = self.serialize(final_response)
-        unsent = self.close_on_error(lambda: http1.send_nowait(self.sock, parts))
+        unsent = self.close_on_error(lambda: socket_io.send_nowait(self.sock, parts))
         if unsent:
             gevent.spawn(self.write_rest, unsent)
         else:
@@ -327,7 +327,7 @@
 
     def write_rest(self, unsent: list[memoryview]) -> None:
         """Writes what the system did not take of a response at once, as the client reads."""
-        self.close_on_error(lambda: http1.send_all(self.sock, unsent))
+        self.close_on_error(lambda: socket_io.send_all(self.sock, unsent))
         self.finish_response()
 
     def close_on_error(self, write: Callable[[], list[memoryview] | None]) -> list[memoryview] | None:
@@ -369,7 +369,7 @@
         elif self.parser.started:
             if now - self.timed_from > REQUEST_READ_TIMEOUT_MS:
                 self.reject_overdue()
-        elif now - self.timed_from > IDLE_TIMEOUT_MS and http1.peek(self.sock) is None:
+        elif now - self.timed_from > IDLE_TIMEOUT_MS and socket_io.peek(self.sock) is None:
             self.listener.counters.add("idle_closed")
             self.close()
 
@@ -377,6 +377,6 @@
         """Rejects a request that is not whole after its time. Bytes that wait unread may be the rest of it,
         as after a pause of this process; they have been read by the next sweep, and what comes later is too
         late."""
-        if self.overdue_from == self.timed_from or http1.peek(self.sock) is None:
+        if self.overdue_from == self.timed_from or socket_io.peek(self.sock) is None:
             self.reject(408)
         self.overdue_from = self.timed_from
--- a/myrtleroad/net/client_listener.py
+++ b/myrtleroad/net/client_listener.py
@@ -9,7 +9,7 @@
 from myrtleroad import interface
 from myrtleroad.admission.admission_control import AdmissionControl, AdmissionDecision
 from myrtleroad.admission.memory_budget import MemoryBudget
-from myrtleroad.net import http1, response
+from myrtleroad.net import http1, response, socket_io
 from myrtleroad.net.client_connection import ClientConnection
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.counters import Counters
@@ -224,7 +224,7 @@
     def close_unless_unread(self, connections: list[ClientConnection]) -> bool:
         """Closes connections but for those with unread bytes before their last response; returns whether
         there were any to close."""
-        to_close = [c for c in connections if c.closing or http1.peek(c.sock) is None]
+        to_close = [c for c in connections if c.closing or socket_io.peek(c.sock) is None]
         for connection in to_close:
             self.counters.add("idle_closed")
             connection.close()
--- a/myrtleroad/net/discovery.py
+++ b/myrtleroad/net/discovery.py
@@ -13,7 +13,7 @@
 from myrtleroad.membership.server_list import ListChange, ListMessage, Restriction, ServerList
 from myrtleroad.membership.stream_follower import FreshnessChanged
 from myrtleroad.membership.stream_quota import StreamLimits
-from myrtleroad.net import http1
+from myrtleroad.net import http1, socket_io
 from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.json_stream import JsonObjectReader, check_size
@@ -213,9 +213,11 @@
         try:
             with gevent.Timeout(FETCH_TIMEOUT_S, TimeoutError):
                 sock = connect_by_name(self.address, CONNECT_TIMEOUT_S)
-                http1.send(sock, http1.request_parts("GET", "/api/targets", http1.host_header(self.address)))
+                socket_io.send(
+                    sock, http1.request_parts("GET", "/api/targets", http1.host_header(self.address))
+                )
                 while not parser.complete:
-                    data = http1.receive(sock)
+                    data = socket_io.receive(sock)
                     if not data:
                         return ListFetched(None, "ended")
                     parser.feed(data)
--- a/myrtleroad/net/platform.py
+++ b/myrtleroad/net/platform.py
@@ -9,7 +9,7 @@
 
 from myrtleroad import interface
 from myrtleroad.membership.stream_quota import StreamLimits
-from myrtleroad.net import http1
+from myrtleroad.net import http1, socket_io
 from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.discovery import follower_settings
@@ -161,10 +161,10 @@
                 sock = connect_by_name(self.address, self.timeout_s)
                 progress = ExchangeProgress.CONNECTED
                 host = http1.host_header(self.address)
-                http1.send(sock, http1.request_parts("POST", "/v1/", host, urlencode(fields).encode()))
+                socket_io.send(sock, http1.request_parts("POST", "/v1/", host, urlencode(fields).encode()))
                 progress = ExchangeProgress.WRITTEN
                 while not parser.complete:
-                    data = http1.receive(sock)
+                    data = socket_io.receive(sock)
                     if not data:
                         return ExchangeFailure(progress, FailureCause.ENDED)
                     progress = ExchangeProgress.BEGUN
--- a/myrtleroad/net/stream.py
+++ b/myrtleroad/net/stream.py
@@ -21,7 +21,7 @@
     StreamFollower,
 )
 from myrtleroad.membership.stream_quota import StreamLimits, StreamQuota
-from myrtleroad.net import http1
+from myrtleroad.net import http1, socket_io
 from myrtleroad.net.connecting import connect_by_name
 from myrtleroad.net.counters import Counters
 from myrtleroad.net.log import Log
@@ -112,11 +112,11 @@
             sock = connect_by_name(self.address, CONNECT_TIMEOUT_S)
             self.connected = True
             sock.settimeout(None)  # the follower decides when silence has lasted too long
-            http1.send(sock, http1.request_parts("GET", self.target, http1.host_header(self.address)))
+            socket_io.send(sock, http1.request_parts("GET", self.target, http1.host_header(self.address)))
             self.sock = sock
             self.poller.add(sock.fileno(), self)
             while not self.parser.complete:
-                data = http1.receive(sock)
+                data = socket_io.receive(sock)
                 if not data:
                     return "ended"
                 self.feed(data)
--- a/myrtleroad/net/upstream_server.py
+++ b/myrtleroad/net/upstream_server.py
@@ -11,7 +11,7 @@
 
 from myrtleroad import interface
 from myrtleroad.admission.response_memory import FREE_BYTES, ResponseLease, ResponseMemory
-from myrtleroad.net import http1
+from myrtleroad.net import http1, socket_io
 from myrtleroad.net.clock import Clock
 from myrtleroad.net.connecting import connect
 from myrtleroad.net.counters import Counters
@@ -240,7 +240,7 @@
         """Whether neither age nor the server has ended an idle connection."""
         return (
             self.clock() - connection.idle_since < self.idle_timeout_ms - IDLE_MARGIN_MS
-            and not http1.is_stale(connection.sock)
+            and not socket_io.is_stale(connection.sock)
         )
 
     def keep_idle(self, connection: Connection) -> None:
@@ -326,12 +326,12 @@
             parts = http1.forwarded_request(job.message, max(1, int(remaining_ms - TRANSIT_MS)))
             if not self.preconditions_hold(job):
                 return NOT_SENT
-            unsent = http1.send_nowait(sock, parts)
+            unsent = socket_io.send_nowait(sock, parts)
             if sum(map(len, unsent)) < sum(map(len, parts)):
                 break
-            gevent.sleep(http1.RETRY_DELAY_S)
+            gevent.sleep(socket_io.RETRY_DELAY_S)
         sock.settimeout(remaining_ms / 1000)
-        http1.send_all(sock, unsent, remaining_ms / 1000)
+        socket_io.send_all(sock, unsent, remaining_ms / 1000)
         return None
 
     def exchange(self, job: AttemptJob, connection: Connection) -> UpstreamResponse | ExchangeFailure:
@@ -350,7 +350,7 @@
                     cause = FailureCause.TIMEOUT if has_memory else FailureCause.NO_MEMORY
                     return ExchangeFailure(progress, cause)
                 sock.settimeout(remaining_ms / 1000)
-                data = http1.receive(sock, FREE_BYTES if progress < ExchangeProgress.BEGUN else 0)
+                data = socket_io.receive(sock, FREE_BYTES if progress < ExchangeProgress.BEGUN else 0)
                 if not data:
                     return ExchangeFailure(progress, FailureCause.ENDED)
                 progress = ExchangeProgress.BEGUN
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent import socket
 
-from myrtleroad.net import http1
+from myrtleroad.net import http1, socket_io
 
 REQUEST = b"POST /api?x=1 HTTP/1.1\r\nHost: h\r\nX-Txn: 9b\r\nX-Remaining-Ms: 480\r\n"
 REQUEST += b"Content-Length: 5\r\n\r\nhello"
@@ -186,7 +186,7 @@
     local, remote = socket.socketpair()
     local.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     parts = [b"head", b"x" * 50_000, b"", b"tail" * 5000]
-    writer = gevent.spawn(http1.send, local, parts)
+    writer = gevent.spawn(socket_io.send, local, parts)
     received = b""
     while len(received) < 70_004:
         received += remote.recv(65536)
@@ -198,14 +198,14 @@
     # A check that waited for bytes would block the actor of a server, and every attempt queued there, until
     # they came.
     local, remote = socket.socketpair()
-    check = gevent.spawn(http1.is_stale, local)
+    check = gevent.spawn(socket_io.is_stale, local)
     gevent.sleep(0)
     assert check.ready() and check.value is False
     remote.close()
-    assert http1.is_stale(local)
+    assert socket_io.is_stale(local)
 
 
 def test_connection_with_unrequested_bytes_is_stale():
     local, remote = socket.socketpair()
     remote.send(b"HTTP/1.1 408 Late\r\n\r\n")
-    assert http1.is_stale(local)
+    assert socket_io.is_stale(local)
--- a/tests/test_upstream_server.py
+++ b/tests/test_upstream_server.py
@@ -121,7 +121,9 @@
     peer = Peer(first, answer_with(OK))
     actor, results = build_server(peer.address)
     assert run_attempt(actor, results).outcome == interface.Outcome.COMPLETED
-    while not actor.idle_connections or not upstream_server.http1.is_stale(actor.idle_connections[-1].sock):
+    while not actor.idle_connections or not upstream_server.socket_io.is_stale(
+        actor.idle_connections[-1].sock
+    ):
         gevent.sleep(0.001)
     assert run_attempt(actor, results, request_id=2).outcome == interface.Outcome.COMPLETED
     assert peer.connections == 2
